--- /dev/null
+++ b/src/policy/policy.hpp
@@ -0,0 +1,153 @@
+// Interface of the decision module: what it is told at its start, what it hears, what it orders.
+// Nothing here knows a wire; a host (the bench's adapter today) translates.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/ids.hpp"
+#include "core/time.hpp"
+
+namespace gorsemount {
+
+enum class Effect { idempotent, fingerprinted, side_effecting };
+enum class RepeatGroup { everywhere, zone, pod };  // the backends that drop a repeat between them
+enum class LevelKind { share, rate, off };
+enum class FurtherTries : std::uint8_t { none = 0, after_proof = 1, one = 2, two = 3 };
+
+struct Operation {
+  Effect effect = Effect::side_effecting;
+  RepeatGroup repeat_group = RepeatGroup::everywhere;
+  Span repeat_window;
+  Span latency_objective;
+  double billed_value = 0;
+  bool own_zone_only = false;
+};
+
+struct Settings {
+  std::vector<Operation> operations;
+  std::size_t zones = 0;
+  LevelKind level_kind = LevelKind::off;
+  FurtherTries usual_tries = FurtherTries::after_proof;
+  double try_objectives = 0;  // a try that may be followed waits this many latency objectives
+  bool ask_for_list = false;
+  bool may_probe = false;
+  bool removal_binds = true;
+  Span report_every;
+  Span unserved_limit;
+  // The channel to the proxies, in lines.
+  double backlog = 0;
+  double push_rate = 0;
+  double per_message = 0;
+  int messages_most = 0;  // 0: no cap
+  Span messages_window;
+  // Figures of the rules.
+  Span ask_within;
+  Span drain_grace;
+  double cold_from = 0;
+  Span cold_for;
+};
+
+// What a backend says of itself, as far as it says it.
+struct LoadReport {
+  std::optional<double> busy;     // part of its processors in use
+  std::optional<double> waiting;  // invocations that wait
+  std::optional<Span> service;    // recent service time, without waiting
+};
+
+enum class Availability { ready, draining, gone };
+enum class ListScope { changes, whole, remembered, failed };
+
+struct Listed {
+  struct Entry {
+    BackendId backend;
+    ZoneId zone;
+    Availability availability = Availability::ready;
+    double weight = 1;
+    std::optional<Instant> started;  // absent: long ago
+  };
+  ListScope scope = ListScope::whole;
+  std::vector<Entry> entries;
+};
+struct TimerFired {
+  TimerTag tag;
+};
+struct ProbeAnswered {
+  BackendId backend;
+  bool succeeded = false;
+  bool at_capacity = false;  // turned away: it runs, but takes no more
+};
+struct ProxyJoined {
+  ProxyId proxy;
+  bool fresh = false;  // it holds only its standing tables
+};
+struct ProxyLeft {
+  ProxyId proxy;
+};
+struct BackendReport {
+  ZoneId proxies_in;
+  BackendId backend;
+  int tries = 0;
+  int errored = 0;
+  Span mean_latency;  // of the succeeded ones; zero if none
+  Span over;
+  LoadReport load;
+};
+struct DemandReport {
+  ProxyId proxy;
+  OperationId operation;
+  int arrived = 0;
+  int unanswered = 0;
+  Span over;
+};
+using Event = std::variant<Listed, TimerFired, ProbeAnswered, ProxyJoined, ProxyLeft, BackendReport, DemandReport>;
+
+struct SetLine {
+  TableId table;
+  BackendId backend;
+  double weight = 0;  // 0 removes the line
+};
+struct BindProxy {
+  ProxyId proxy;
+  TableId table;  // for every operation
+};
+struct SetLevel {
+  TableId table;
+  OperationId operation;
+  FurtherTries tries = FurtherTries::none;
+  double level = 0;  // in the kind that the settings name
+};
+struct ProbeBackend {
+  BackendId backend;
+};
+struct FollowList {};  // subscribe to changes of the list
+struct WakeMe {
+  Span after;
+  TimerTag tag;
+};
+struct Note {
+  std::string text;
+};
+using Order = std::variant<SetLine, BindProxy, SetLevel, ProbeBackend, FollowList, WakeMe, Note>;
+
+// One coordinator's decisions. Instances share nothing.
+class Policy {
+ public:
+  Policy(Settings settings, std::uint64_t seed);
+  Policy(Policy&&) noexcept;
+  Policy& operator=(Policy&&) noexcept;
+  ~Policy();
+
+  // All that came in at one time; the orders take effect in the order returned.
+  [[nodiscard]] std::vector<Order> handle(Instant now, const std::vector<Event>& events);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace gorsemount
