--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,44 +1,503 @@
-// bootstrap
+// gorsemount's decisions, whole. The interface is policy.hpp. A host makes one Policy for each
+// coordinator, hands all that came in at one time to handle(), and carries out the orders in the
+// order returned. A pass has three parts: note() takes the events in; want() works out the wanted
+// table, levels and bindings; emit() turns the difference to the present state into orders.
+//
+// The mechanism (docs/design.md): one table for all proxies, weight = listed weight x ladder share.
+// A ladder steps a silo's share down on a sustained failure signal, and back up in trial steps. There
+// are ladders for zones and, as the smallest silo, for single backends.
 #include "policy/policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
 #include <map>
+#include <random>
 #include <set>
+#include <utility>
+
 namespace gorsemount {
+
+namespace {
+
+constexpr TableId kTable{0};                       // the one shared table
+const Span kTick = Span::seconds(0.25);            // finer than any timer below, far above the host's resolution
+constexpr double kNoLevel = 1e6;                   // a rate that no proxy reaches: everything is let in
+constexpr std::size_t kRoundsKept = 8;             // longest look-back below (zones: 200 answers) in rounds
+
+// One report round as it bears on one backend.
+struct Sample {
+  Instant heard;
+  double tries = 0;
+  double errored = 0;
+  double expected = 0;    // tries due to it by weight; 0 while its weight is on the move
+  double latency = 0;     // mean of the succeeded, s
+  LoadReport load;
+};
+
+// Evidence summed over some samples.
+struct Tally {
+  double tries = 0;
+  double errored = 0;
+  double expected = 0;
+  [[nodiscard]] double share() const { return tries > 0 ? errored / tries : 0; }
+  Tally& operator+=(const Tally& o) {
+    tries += o.tries, errored += o.errored, expected += o.expected;
+    return *this;
+  }
+};
+
+// The steps of a ladder; two scopes use it.
+struct Steps {
+  double down;        // part of the full share taken each step
+  Span down_every;
+  Span hold;          // from the end of the drain to the trial
+  double up;          // part of the full share given back each step
+  Span up_every;
+};
+
+struct Ladder {
+  double share = 1;
+  bool falling = false;
+  std::optional<Instant> bad_since;
+  Instant next;      // earliest next step
+  Instant changed;   // when the share last moved
+  int relapses = 0;
+
+  [[nodiscard]] bool whole() const { return share >= 1 && !falling; }
+  void move(double to, Instant now, Span wait) { share = std::clamp(to, 0.0, 1.0), changed = now, next = now + wait; }
+  void fall(Instant now) { falling = true, next = now; }
+  void advance(Instant now, const Steps& steps, bool bad, bool good, bool may_try, double trial);
+};
+
+void Ladder::advance(Instant now, const Steps& steps, bool bad, bool good, bool may_try, double trial) {
+  // A relapse doubles the hold, three times at most: flapping must not meet the step timers.
+  const auto hold = [&] { return steps.hold * (1 << std::min(relapses, 3)); };
+  if (bad && !falling && share > 0) {
+    if (share < 1) ++relapses;
+    fall(now);
+  }
+  if (now < next) return;
+  if (falling) {
+    move(share - steps.down, now, steps.down_every);
+    if (share < 1e-9) move(0, now, hold()), falling = false;
+  } else if (share <= 0) {
+    if (may_try) move(trial, now, steps.up_every);
+  } else if (share < 1) {
+    if (good) move(share + steps.up, now, steps.up_every);
+  } else if (now - changed > steps.hold * 4) {
+    relapses = 0;
+  }
+}
+
+struct Backend {
+  Listed::Entry listed;
+  Ladder ladder;
+  std::deque<Sample> samples;
+  std::optional<Instant> line_moved;  // when its line in the table last changed
+  std::optional<Instant> probed;      // the last probe out
+  bool probe_well = false;            // the last probe's answer
+  bool probe_answered = false;
+};
+
+struct Level {
+  FurtherTries tries = FurtherTries::after_proof;
+  double level = 1;
+};
+
+struct Demand {
+  std::deque<double> rates;  // invocations a second, the last rounds
+};
+
+}  // namespace
+
 struct Policy::State {
+  State(Settings given, std::uint64_t seed) : s{std::move(given)}, chance{static_cast<std::uint32_t>(seed)} {}
+
+  std::vector<Order> handle(Instant at, const std::vector<Event>& events);
+
+  void note(const Listed& e);
+  void note(const TimerFired&) {}
+  void note(const ProbeAnswered& e);
+  void note(const ProxyJoined& e) { joined.push_back(e.proxy); }
+  void note(const ProxyLeft& e);
+  void note(const BackendReport& e) { round.push_back(e); }
+  void note(const DemandReport& e);
+  void close_round();
+
+  [[nodiscard]] bool ready(const Backend& b) const { return b.listed.availability == Availability::ready; }
+  [[nodiscard]] double warmth(const Backend& b) const;
+  [[nodiscard]] double listed_weight(const Backend& b) const;
+  [[nodiscard]] Tally tally(const Backend& b, std::size_t rounds, Instant since) const;
+  [[nodiscard]] bool failing(const Backend& b) const;
+  [[nodiscard]] bool proving(const Backend& b) const;
+  [[nodiscard]] bool may_condemn(const Backend& b) const;
+  [[nodiscard]] double pressure() const;
+  void judge_backends();
+  void judge_zones();
+  void probe_suspects();
+  void follow_list();
+
+  void want();
+  void want_levels();
+  void emit();
+  [[nodiscard]] double queued() const;
+  void message(std::size_t proxies, double lines);
+
   Settings s;
-  std::map<BackendId, Listed::Entry> roster;
-  std::map<BackendId, double> sent;
+  std::mt19937 chance;
+  Instant now;
+  std::vector<Order> out;
+
+  std::map<BackendId, Backend> roster;
+  std::map<ZoneId, Ladder> zones;
+  std::vector<BackendReport> round;
+  std::map<std::pair<ProxyId, OperationId>, Demand> demand;
+  std::vector<ProxyId> joined;  // wait for their binding
+
+  std::map<BackendId, double> wanted_lines;
+  std::vector<Level> wanted_levels;
+  bool urgent = false;
+
+  std::map<BackendId, double> lines;
+  std::vector<Level> levels;
   std::set<ProxyId> bound;
-  bool first = true;
+
+  bool asked = false;
+  bool following = false;
+  Instant ask_at;
+  std::optional<Instant> wake_at;
+  double queue = 0;  // lines in the channel, reckoned at queue_at
+  Instant queue_at;
+  std::deque<Instant> messages;
 };
-Policy::Policy(Settings settings, std::uint64_t) : state_{std::make_unique<State>()} { state_->s = settings; }
-Policy::Policy(Policy&&) noexcept = default;
-Policy& Policy::operator=(Policy&&) noexcept = default;
-Policy::~Policy() = default;
-std::vector<Order> Policy::handle(Instant now, const std::vector<Event>& events) {
-  std::vector<Order> out;
-  auto& st = *state_;
-  std::vector<ProxyId> joins;
-  if (st.first && st.s.ask_for_list) out.push_back(FollowList{});
-  st.first = false;
-  for (auto& e : events) {
-    if (auto* l = std::get_if<Listed>(&e)) {
-      if (l->scope == ListScope::failed) { out.push_back(FollowList{}); continue; }
-      if (l->scope != ListScope::changes) st.roster.clear();
-      for (auto& x : l->entries) { if (x.availability == Availability::gone) st.roster.erase(x.backend); else st.roster[x.backend] = x; }
+
+// ---- What is heard -------------------------------------------------------------------------------
+
+void Policy::State::note(const Listed& e) {
+  if (e.scope == ListScope::failed) {
+    following = false;
+    // Instances that failed together must not ask together again.
+    ask_at = now + Span::seconds(std::uniform_real_distribution<>{0.2, 1.0}(chance));
+    return;
+  }
+  if (e.scope != ListScope::remembered) following = true;
+  std::set<BackendId> seen;
+  for (const auto& entry : e.entries) {
+    seen.insert(entry.backend);
+    if (entry.availability == Availability::gone) {
+      roster.erase(entry.backend);
+      continue;
+    }
+    auto [it, fresh] = roster.try_emplace(entry.backend);
+    const bool restarted = !fresh && entry.started && it->second.listed.started != entry.started;
+    if (restarted) it->second = Backend{};  // what was heard of the process before says nothing of this one
+    it->second.listed = entry;
+  }
+  if (e.scope == ListScope::changes) return;
+  std::erase_if(roster, [&](const auto& row) { return !seen.contains(row.first); });
+}
+
+void Policy::State::note(const ProbeAnswered& e) {
+  const auto it = roster.find(e.backend);
+  if (it == roster.end()) return;
+  it->second.probe_answered = true;
+  it->second.probe_well = e.succeeded || e.at_capacity;
+}
+
+void Policy::State::note(const ProxyLeft& e) {
+  bound.erase(e.proxy);
+  std::erase(joined, e.proxy);
+  std::erase_if(demand, [&](const auto& row) { return row.first.first == e.proxy; });
+}
+
+void Policy::State::note(const DemandReport& e) {
+  if (e.over <= Span{} || e.operation.value >= s.operations.size()) return;
+  auto& rates = demand[{e.proxy, e.operation}].rates;
+  rates.push_back(e.arrived / e.over.seconds());
+  if (rates.size() > 2) rates.pop_front();
+}
+
+// Turns the lines of one report round into a sample for every backend: one without a line was not
+// heard at all, which is evidence too. Rates go by the reports' own spans.
+void Policy::State::close_round() {
+  if (round.empty()) return;
+  std::map<BackendId, Sample> heard;
+  Tally all;
+  for (const auto& r : round) {
+    auto& sample = heard[r.backend];
+    const double ok = r.tries - r.errored;
+    const double ok_before = sample.tries - sample.errored;
+    if (ok > 0) sample.latency = (sample.latency * ok_before + r.mean_latency.seconds() * ok) / (ok_before + ok);
+    sample.tries += r.tries;
+    sample.errored += r.errored;
+    if (r.load.busy) sample.load.busy = r.load.busy;
+    if (r.load.waiting) sample.load.waiting = r.load.waiting;
+    if (r.load.service) sample.load.service = r.load.service;
+    all.tries += r.tries;
+  }
+  double total = 0;
+  for (const auto& [id, weight] : lines) total += weight;
+  const Span settled = s.report_every * 2 + Span::seconds(1.5);  // a round's own span, its delay and an order's way
+  for (auto& [id, b] : roster) {
+    Sample sample = heard[id];
+    sample.heard = now;
+    const auto line = lines.find(id);
+    const bool steady = !b.line_moved || now - *b.line_moved > settled;
+    if (line != lines.end() && total > 0 && steady) sample.expected = all.tries * line->second / total;
+    b.samples.push_back(sample);
+    if (b.samples.size() > kRoundsKept) b.samples.pop_front();
+  }
+  round.clear();
+}
+
+// ---- What it means -------------------------------------------------------------------------------
+
+// The part of its capacity that a backend is sure to have, by what the settings guarantee.
+double Policy::State::warmth(const Backend& b) const {
+  if (!b.listed.started || s.cold_for <= Span{}) return 1;
+  const double age = (now - *b.listed.started).seconds() / s.cold_for.seconds();
+  return std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
+}
+
+double Policy::State::listed_weight(const Backend& b) const { return b.listed.weight > 0 ? b.listed.weight : 1; }
+
+Tally Policy::State::tally(const Backend& b, std::size_t rounds, Instant since) const {
+  Tally t;
+  for (auto it = b.samples.rbegin(); it != b.samples.rend() && rounds > 0 && it->heard > since; ++it, --rounds)
+    t += Tally{it->tries, it->errored, it->expected};
+  return t;
+}
+
+// A backend's failure signal: many errors beside its peers, or answers that are missing.
+bool Policy::State::failing(const Backend& b) const {
+  // Evidence on a step counts once its effect can have been heard.
+  const Span lag = s.report_every + Span::seconds(1.0);
+  const Instant since = b.ladder.whole() ? Instant::at_seconds(-1e9) : b.ladder.changed + lag;
+  const Tally own = tally(b, 2, since);
+  Tally peers;
+  for (const auto& [id, p] : roster)
+    if (&p != &b && p.ladder.share > 0) peers += tally(p, 2, now - s.report_every * 3);
+  // Errors: a third of four answers or more, and three times the peers' share. In an overload all
+  // fail alike, and none is condemned.
+  if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) return true;
+  // Missing: silence where 7 tries were due (by chance once in a thousand rounds). Where all lines
+  // are late nothing is due, since what is due is a part of what was heard.
+  return own.expected >= 7 && own.tries < 0.1 * own.expected;
+}
+
+bool Policy::State::proving(const Backend& b) const {
+  const Tally own = tally(b, kRoundsKept, b.ladder.changed + s.report_every);
+  return own.tries >= 2 && own.share() < 0.2;
+}
+
+// Panic bound: a view that condemns more than two fifths of the weight is likelier wrong than right.
+bool Policy::State::may_condemn(const Backend& b) const {
+  double out_weight = listed_weight(b);
+  double total = 0;
+  for (const auto& [id, p] : roster) {
+    if (!ready(p)) continue;
+    total += listed_weight(p);
+    if (&p != &b && (p.ladder.share < 0.5 || p.ladder.falling)) out_weight += listed_weight(p);
+  }
+  return out_weight <= 0.4 * total;
+}
+
+void Policy::State::judge_backends() {
+  // The smallest silo holds little, so it falls in one step; it is tried with a hundredth of the
+  // traffic, as a zone is, and climbs in thirds.
+  const Steps steps{1.0, Span{}, Span::seconds(4), 1.0 / 3, Span::seconds(2)};
+  double total = 0;
+  for (const auto& [id, b] : roster) total += ready(b) ? listed_weight(b) : 0;
+  for (auto& [id, b] : roster) {
+    const bool bad = failing(b) && may_condemn(b);
+    const double trial = std::min(1.0, 0.01 * total / listed_weight(b));
+    b.ladder.advance(now, steps, bad, proving(b), !s.may_probe || b.probe_well, trial);
+  }
+}
+
+void Policy::State::judge_zones() {
+  const Steps steps{1.0 / 3, Span::seconds(2), Span::seconds(10), 0.1, Span::seconds(3)};
+  std::map<ZoneId, Tally> heard;
+  std::map<ZoneId, double> weight;
+  double total = 0;
+  for (const auto& [id, b] : roster) {
+    if (!ready(b)) continue;
+    const double w = listed_weight(b);
+    weight[b.listed.zone] += w, total += w;
+    zones.try_emplace(b.listed.zone);
+    // A backend that is out on its own ladder is answered already.
+    if (b.ladder.whole()) heard[b.listed.zone] += tally(b, kRoundsKept, zones[b.listed.zone].changed);
+  }
+  for (auto& [zone, ladder] : zones) {
+    const Tally own = heard[zone];
+    bool bad = own.tries >= 200 && own.share() > 0.05;
+    int others = 0;
+    for (const auto& [other, t] : heard) {
+      if (other == zone) continue;
+      bad = bad && own.share() > 2 * t.share() && zones[other].whole();
+      others += weight[other] > 0 ? 1 : 0;
     }
-    if (auto* j = std::get_if<ProxyJoined>(&e)) joins.push_back(j->proxy);
-    if (auto* j = std::get_if<ProxyLeft>(&e)) st.bound.erase(j->proxy);
+    // Survivors need room for what the zone gives up.
+    bad = bad && others >= 2 && pressure() * total < 0.95 * (total - weight[zone]);
+    if (!bad) ladder.bad_since.reset();
+    if (bad && !ladder.bad_since) ladder.bad_since = now;
+    const bool sustained = bad && now - *ladder.bad_since >= Span::seconds(3);
+    const bool low = own.share() <= 0.05;
+    const double trial = weight[zone] > 0 ? std::min(1.0, 0.01 * total / weight[zone]) : 1;
+    ladder.advance(now, steps, sustained, low, true, trial);
+  }
+}
+
+// Mean use of the backends' processors as they last told it; 0 where they do not tell.
+double Policy::State::pressure() const {
+  double sum = 0, n = 0;
+  for (const auto& [id, b] : roster) {
+    if (b.samples.empty() || b.ladder.share <= 0) continue;
+    double busy = 0, k = 0;
+    for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 2; ++it)
+      if (it->load.busy) busy += *it->load.busy, ++k;
+    if (k > 0) sum += busy / k, ++n;
   }
-  std::map<BackendId, double> want;
-  for (auto& [b, x] : st.roster) if (x.availability == Availability::ready) {
-    double w = x.weight;
-    want[b] = w;
+  return n > 0 ? sum / n : 0;
+}
+
+void Policy::State::probe_suspects() {
+  if (!s.may_probe) return;
+  for (auto& [id, b] : roster) {
+    if (!ready(b) || b.ladder.share > 0) continue;
+    if (b.probed && now - *b.probed < Span::seconds(2)) continue;
+    b.probed = now, b.probe_answered = false;
+    out.emplace_back(ProbeBackend{id});
+  }
+}
+
+void Policy::State::follow_list() {
+  if (!s.ask_for_list || following || (asked && now < ask_at)) return;
+  asked = true;
+  ask_at = now + s.ask_within * 0.5;  // unanswered for half the time allowed: ask again
+  out.emplace_back(FollowList{});
+}
+
+// ---- What is wanted ------------------------------------------------------------------------------
+
+void Policy::State::want() {
+  wanted_lines.clear();
+  double warm = 0;
+  for (const auto& [id, b] : roster) {
+    if (!ready(b)) continue;
+    const auto zone = zones.find(b.listed.zone);
+    const double share = b.ladder.share * (zone == zones.end() ? 1 : zone->second.share);
+    const double weight = listed_weight(b) * share * warmth(b);
+    if (weight <= 0) continue;
+    wanted_lines[id] = weight;
+    if (warmth(b) >= 1) warm += weight;
+  }
+  // Never take away the last warm lines: with none left the ladders no longer bind.
+  if (warm <= 0)
+    for (const auto& [id, b] : roster)
+      if (ready(b)) wanted_lines[id] = listed_weight(b) * warmth(b);
+  // A rising line waits until it is worth a message; a falling one does not.
+  for (auto& [id, weight] : wanted_lines) {
+    const auto present = lines.find(id);
+    const bool small = present != lines.end() && weight > present->second && weight < 1.15 * present->second;
+    if (small && warmth(roster[id]) < 1) weight = present->second;
+  }
+  want_levels();
+}
+
+void Policy::State::want_levels() {
+  wanted_levels.assign(s.operations.size(), Level{s.usual_tries, s.level_kind == LevelKind::rate ? kNoLevel : 1});
+  for (std::size_t k = 0; k < s.operations.size(); ++k) {
+    const Operation& op = s.operations[k];
+    if (op.effect == Effect::idempotent) wanted_levels[k].tries = pressure() < 0.8 ? FurtherTries::two : FurtherTries::after_proof;
   }
-  for (auto& [b, w] : st.sent) if (!want.count(b)) out.push_back(SetLine{TableId{0}, b, 0});
-  for (auto& [b, w] : want) if (!st.sent.count(b) || st.sent[b] != w) out.push_back(SetLine{TableId{0}, b, w});
-  st.sent = want;
-  for (auto p : joins) out.push_back(BindProxy{p, TableId{0}});
-  (void)now;
-  return out;
 }
+
+// ---- What is ordered -----------------------------------------------------------------------------
+
+// Lines still in the channel, if it sends at half its stated pace, as on a slow day.
+double Policy::State::queued() const {
+  return std::max(0.0, queue - (now - queue_at).seconds() * s.push_rate * 0.5);
+}
+
+void Policy::State::message(std::size_t proxies, double cost) {
+  queue = queued() + static_cast<double>(proxies) * (s.per_message + cost);
+  queue_at = now;
+}
+
+void Policy::State::emit() {
+  std::vector<Order> changes;
+  bool must = false;
+  for (const auto& [id, weight] : lines) {
+    if (wanted_lines.contains(id)) continue;
+    changes.emplace_back(SetLine{kTable, id, 0});
+    const auto b = roster.find(id);
+    must = must || b == roster.end() || !ready(b->second);
+  }
+  for (const auto& [id, weight] : wanted_lines) {
+    const auto present = lines.find(id);
+    if (present != lines.end() && std::abs(present->second - weight) < 1e-9) continue;
+    changes.emplace_back(SetLine{kTable, id, weight});
+    must = must || (warmth(roster[id]) < 1 && present != lines.end() && weight < present->second);
+  }
+  std::vector<Order> level_changes;
+  for (std::size_t k = 0; k < wanted_levels.size(); ++k) {
+    const Level& w = wanted_levels[k];
+    if (k < levels.size() && levels[k].tries == w.tries && std::abs(levels[k].level - w.level) < 0.03 * w.level) continue;
+    level_changes.emplace_back(SetLevel{kTable, OperationId{static_cast<std::uint8_t>(k)}, w.tries, w.level});
+  }
+  const double cost = static_cast<double>(changes.size() + level_changes.size());
+  if (cost > 0) {
+    while (!messages.empty() && now - messages.front() > s.messages_window) messages.pop_front();
+    const double limit = std::min(0.5 * s.backlog, 0.2 * s.drain_grace.seconds() * s.push_rate);
+    const bool room = queued() + static_cast<double>(bound.size()) * (s.per_message + cost) <= limit;
+    const bool paced = messages.empty() || now - messages.back() >= Span::seconds(0.5);
+    const bool under = s.messages_most == 0 || static_cast<double>(messages.size()) < 0.6 * s.messages_most;
+    if (must || bound.empty() || (room && paced && under)) {
+      for (auto* list : {&changes, &level_changes}) out.insert(out.end(), list->begin(), list->end());
+      for (auto& [id, b] : roster) {
+        const auto before = lines.find(id), after = wanted_lines.find(id);
+        if ((before == lines.end() ? 0 : before->second) != (after == wanted_lines.end() ? 0 : after->second)) b.line_moved = now;
+      }
+      lines = wanted_lines;
+      levels = wanted_levels;
+      if (!bound.empty()) messages.push_back(now), message(bound.size(), cost);
+    }
+  }
+  // Bindings: all at once while the channel has room, in the order of joining.
+  const double whole_table = 1 + static_cast<double>(lines.size() + levels.size());
+  while (!joined.empty() && !lines.empty() && queued() + s.per_message + whole_table <= 0.8 * s.backlog) {
+    out.emplace_back(BindProxy{joined.front(), kTable});
+    bound.insert(joined.front());
+    joined.erase(joined.begin());
+    message(1, whole_table);
+  }
+}
+
+std::vector<Order> Policy::State::handle(Instant at, const std::vector<Event>& events) {
+  now = at;
+  out.clear();
+  for (const auto& event : events) std::visit([this](const auto& e) { note(e); }, event);
+  close_round();
+  follow_list();
+  judge_backends();
+  judge_zones();
+  probe_suspects();
+  want();
+  emit();
+  if (!wake_at || now >= *wake_at) {
+    wake_at = now + kTick;
+    out.emplace_back(WakeMe{kTick, TimerTag{0}});
+  }
+  return std::move(out);
+}
+
+Policy::Policy(Settings settings, std::uint64_t seed) : state_{std::make_unique<State>(std::move(settings), seed)} {}
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+Policy::~Policy() = default;
+
+std::vector<Order> Policy::handle(Instant now, const std::vector<Event>& events) { return state_->handle(now, events); }
+
 }  // namespace gorsemount
