--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -105,6 +105,12 @@
   double level = 1;
 };
 
+// What the fleet carried in one report round.
+struct Round {
+  double succeeded = 0;  // a second
+  double strain = 0;     // share of errors, the worst backends left out
+};
+
 struct Demand {
   std::deque<double> rates;  // invocations a second, the last rounds
 };
@@ -133,6 +139,7 @@
   [[nodiscard]] bool proving(const Backend& b) const;
   [[nodiscard]] bool may_condemn(const Backend& b) const;
   [[nodiscard]] double pressure() const;
+  [[nodiscard]] double common_errors() const;
   void judge_backends();
   void judge_zones();
   void probe_suspects();
@@ -152,6 +159,9 @@
   std::map<BackendId, Backend> roster;
   std::map<ZoneId, Ladder> zones;
   std::vector<BackendReport> round;
+  std::deque<Round> rounds;
+  double strain = 0;       // errors that all share, over the last two rounds
+  Instant strained_at = Instant::at_seconds(-1e9);
   std::map<std::pair<ProxyId, OperationId>, Demand> demand;
   std::vector<ProxyId> joined;  // wait for their binding
 
@@ -234,7 +244,7 @@
     if (r.load.busy) sample.load.busy = r.load.busy;
     if (r.load.waiting) sample.load.waiting = r.load.waiting;
     if (r.load.service) sample.load.service = r.load.service;
-    all.tries += r.tries;
+    all.tries += r.tries, all.errored += r.errored;
   }
   double total = 0;
   for (const auto& [id, weight] : lines) total += weight;
@@ -249,15 +259,24 @@
     if (b.samples.size() > kRoundsKept) b.samples.pop_front();
   }
   round.clear();
+  strain = common_errors();
+  if (strain > 0.05) strained_at = now;
+  rounds.push_back({(all.tries - all.errored) / s.report_every.seconds(), strain});
+  if (rounds.size() > 2) rounds.pop_front();
+  want_levels();
 }
 
 // ---- What it means -------------------------------------------------------------------------------
 
-// The part of its capacity that a backend is sure to have, by what the settings guarantee.
+// The part of full weight that a starting backend may have: by what the settings guarantee of its
+// capacity, squared, since a short burst or a slow machine must not tip it. Proxies leave lines that
+// fail them and press on the rest, so in a general failure a newcomer gets less by the part that fails.
 double Policy::State::warmth(const Backend& b) const {
   if (!b.listed.started || s.cold_for <= Span{}) return 1;
   const double age = (now - *b.listed.started).seconds() / s.cold_for.seconds();
-  return std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
+  if (age >= 1) return 1;
+  const double sure = std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
+  return sure * sure * std::max(0.1, 1 - strain);
 }
 
 double Policy::State::listed_weight(const Backend& b) const { return b.listed.weight > 0 ? b.listed.weight : 1; }
@@ -362,6 +381,18 @@
   return n > 0 ? sum / n : 0;
 }
 
+// The share of errors that the fleet has in common: without the worst quarter of the backends, whose
+// errors are their own. It is what tells an overload from broken backends.
+double Policy::State::common_errors() const {
+  std::vector<Tally> all;
+  for (const auto& [id, b] : roster)
+    if (b.ladder.share > 0) all.push_back(tally(b, 2, now - s.report_every * 3));
+  std::sort(all.begin(), all.end(), [](const Tally& a, const Tally& b) { return a.share() < b.share(); });
+  Tally sum;
+  for (std::size_t k = 0; k < all.size() * 3 / 4; ++k) sum += all[k];
+  return sum.share();
+}
+
 void Policy::State::probe_suspects() {
   if (!s.may_probe) return;
   for (auto& [id, b] : roster) {
@@ -403,14 +434,74 @@
     const bool small = present != lines.end() && weight > present->second && weight < 1.15 * present->second;
     if (small && warmth(roster[id]) < 1) weight = present->second;
   }
-  want_levels();
+  if (wanted_levels.empty()) want_levels();
 }
 
+// Levels and further tries. In an overload operations are let in by billed value for their cost,
+// dearest first, up to what the fleet has shown it can carry.
 void Policy::State::want_levels() {
-  wanted_levels.assign(s.operations.size(), Level{s.usual_tries, s.level_kind == LevelKind::rate ? kNoLevel : 1});
-  for (std::size_t k = 0; k < s.operations.size(); ++k) {
-    const Operation& op = s.operations[k];
-    if (op.effect == Effect::idempotent) wanted_levels[k].tries = pressure() < 0.8 ? FurtherTries::two : FurtherTries::after_proof;
+  const std::size_t n = s.operations.size();
+  const bool by_rate = s.level_kind == LevelKind::rate;
+  wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
+
+  // Further tries multiply work: for ten seconds after errors that all share, only after proof.
+  const bool room = now - strained_at > Span::seconds(10) && pressure() < 0.85;
+  for (std::size_t k = 0; k < n; ++k) {
+    if (s.operations[k].effect == Effect::idempotent)
+      wanted_levels[k].tries = room ? FurtherTries::two : FurtherTries::after_proof;
+  }
+  if (s.level_kind == LevelKind::off || rounds.empty()) return;
+
+  // The settings tell no cost; the latency objective is their only hint of it.
+  const auto cost = [&](std::size_t k) { return s.operations[k].latency_objective.seconds(); };
+  std::vector<std::vector<double>> arriving(n);
+  for (const auto& [key, d] : demand) {
+    double mean = 0;
+    for (const double rate : d.rates) mean += rate / static_cast<double>(d.rates.size());
+    arriving[key.second.value].push_back(mean);
+  }
+  std::vector<double> asked(n, 0);
+  double admitted = 0, admitted_cost = 0;
+  for (std::size_t k = 0; k < n; ++k) {
+    double in = 0;
+    for (const double rate : arriving[k]) {
+      asked[k] += rate;
+      in += by_rate ? std::min(rate, wanted_levels[k].level) : rate * std::min(1.0, wanted_levels[k].level);
+    }
+    admitted += in, admitted_cost += in * cost(k);
+  }
+  const double busy = pressure();
+  if (admitted <= 0 || busy <= 0) return;
+  double succeeded = 0;
+  for (const Round& r : rounds) succeeded += r.succeeded / static_cast<double>(rounds.size());
+  // Use beyond 0.85 of the processors is queues at the slower backends; errors in common say the same.
+  const double target = strain > 0.2 ? 0.7 : 0.85;
+  double allowed = target * succeeded / busy * admitted_cost / admitted;
+  allowed = std::clamp(allowed, 0.5 * admitted_cost, 1.25 * admitted_cost);  // one round may be off
+  std::vector<std::size_t> order(n);
+  for (std::size_t k = 0; k < n; ++k) order[k] = k;
+  const auto density = [&](std::size_t k) { return s.operations[k].billed_value / cost(k); };
+  std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) { return density(a) > density(b); });
+  for (const std::size_t k : order) {
+    const double wish = asked[k] * cost(k);
+    const double share = wish > 0 ? std::clamp(allowed / wish, 0.02, 1.0) : 1;
+    allowed -= share * wish;
+    double level = share;
+    if (by_rate) {  // the common rate at which the proxies together let in this share
+      level = kNoLevel;
+      auto& rates = arriving[k];
+      std::sort(rates.begin(), rates.end());
+      double left = share * asked[k];
+      for (std::size_t p = 0; share < 1 && p < rates.size(); ++p) {
+        const double even = left / static_cast<double>(rates.size() - p);
+        if (rates[p] >= even) {
+          level = even;
+          break;
+        }
+        left -= rates[p];
+      }
+    }
+    wanted_levels[k].level = level;
   }
 }
 
