--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -161,7 +161,6 @@
   std::vector<BackendReport> round;
   std::deque<Round> rounds;
   double strain = 0;       // errors that all share, over the last two rounds
-  Instant strained_at = Instant::at_seconds(-1e9);
   std::map<std::pair<ProxyId, OperationId>, Demand> demand;
   std::vector<ProxyId> joined;  // wait for their binding
 
@@ -260,7 +259,6 @@
   }
   round.clear();
   strain = common_errors();
-  if (strain > 0.05) strained_at = now;
   rounds.push_back({(all.tries - all.errored) / s.report_every.seconds(), strain});
   if (rounds.size() > 2) rounds.pop_front();
   want_levels();
@@ -437,19 +435,15 @@
   if (wanted_levels.empty()) want_levels();
 }
 
-// Levels and further tries. In an overload operations are let in by billed value for their cost,
+// Levels. Further tries stay as the proxies have them, after proof only: a try that may be followed is
+// given up early, and what it leaves running beside its repeat tips a busy fleet over (design.md has the
+// figures). In an overload operations are let in by billed value for their cost,
 // dearest first, up to what the fleet has shown it can carry.
 void Policy::State::want_levels() {
   const std::size_t n = s.operations.size();
   const bool by_rate = s.level_kind == LevelKind::rate;
   wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
 
-  // Further tries multiply work: for ten seconds after errors that all share, only after proof.
-  const bool room = now - strained_at > Span::seconds(10) && pressure() < 0.85;
-  for (std::size_t k = 0; k < n; ++k) {
-    if (s.operations[k].effect == Effect::idempotent)
-      wanted_levels[k].tries = room ? FurtherTries::two : FurtherTries::after_proof;
-  }
   if (s.level_kind == LevelKind::off || rounds.empty()) return;
 
   // The settings tell no cost; the latency objective is their only hint of it.
