Step slow backends down by quarters, steer levels by use of processors

Guards against gray slowness of any cause; could harm where all work is slow at one backend by its nature, hence never below a tenth.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -47,44 +47,48 @@
   }
 };
 
+enum class Verdict { unknown, well, slow, failed };
+
 // The steps of a ladder; two scopes use it.
 struct Steps {
-  double down;        // part of the full share taken each step
+  double down;      // part of the full share taken each step of a drain
   Span down_every;
-  Span hold;          // from the end of the drain to the trial
-  double up;          // part of the full share given back each step
+  Span hold;        // from the end of the drain to the trial
+  double up;        // part of the full share given back each step
   Span up_every;
 };
 
 struct Ladder {
   double share = 1;
-  bool falling = false;
+  bool falling = false;  // a drain runs to its end
   std::optional<Instant> bad_since;
-  Instant next;      // earliest next step
-  Instant changed;   // when the share last moved
+  Instant next;     // earliest next step
+  Instant changed;  // when the share last moved
   int relapses = 0;
 
   [[nodiscard]] bool whole() const { return share >= 1 && !falling; }
+  void advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial);
   void move(double to, Instant now, Span wait) { share = std::clamp(to, 0.0, 1.0), changed = now, next = now + wait; }
-  void fall(Instant now) { falling = true, next = now; }
-  void advance(Instant now, const Steps& steps, bool bad, bool good, bool may_try, double trial);
 };
 
-void Ladder::advance(Instant now, const Steps& steps, bool bad, bool good, bool may_try, double trial) {
-  // A relapse doubles the hold, three times at most: flapping must not meet the step timers.
-  const auto hold = [&] { return steps.hold * (1 << std::min(relapses, 3)); };
-  if (bad && !falling && share > 0) {
+void Ladder::advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial) {
+  if (verdict == Verdict::failed && !falling && share > 0) {
     if (share < 1) ++relapses;
-    fall(now);
+    falling = true, next = now;
   }
   if (now < next) return;
   if (falling) {
     move(share - steps.down, now, steps.down_every);
-    if (share < 1e-9) move(0, now, hold()), falling = false;
+    // A relapse doubles the hold, three times at most: flapping must not meet the step timers.
+    if (share < 1e-9) move(0, now, steps.hold * (1 << std::min(relapses, 3))), falling = false;
   } else if (share <= 0) {
     if (may_try) move(trial, now, steps.up_every);
+  } else if (verdict == Verdict::slow) {
+    // Slow is not broken: a quarter less, never out, and back by small steps.
+    relapses = std::max(relapses, 1);
+    move(std::max(0.1, share * 0.75), now, steps.up_every * 2);
   } else if (share < 1) {
-    if (good) move(share + steps.up, now, steps.up_every);
+    if (verdict == Verdict::well) move(share + (relapses > 0 ? steps.up / 4 : steps.up), now, steps.up_every);
   } else if (now - changed > steps.hold * 4) {
     relapses = 0;
   }
@@ -105,12 +109,6 @@
   double level = 1;
 };
 
-// What the fleet carried in one report round.
-struct Round {
-  double succeeded = 0;  // a second
-  double strain = 0;     // share of errors, the worst backends left out
-};
-
 struct Demand {
   std::deque<double> rates;  // invocations a second, the last rounds
 };
@@ -118,7 +116,11 @@
 }  // namespace
 
 struct Policy::State {
-  State(Settings given, std::uint64_t seed) : s{std::move(given)}, chance{static_cast<std::uint32_t>(seed)} {}
+  State(Settings given, std::uint64_t seed) : s{std::move(given)}, chance{static_cast<std::uint32_t>(seed)} {
+    double sum = 0;
+    for (const auto& op : s.operations) sum += op.latency_objective.seconds();
+    if (sum > 0) objective = sum / static_cast<double>(s.operations.size());
+  }
 
   std::vector<Order> handle(Instant at, const std::vector<Event>& events);
 
@@ -135,8 +137,8 @@
   [[nodiscard]] double warmth(const Backend& b) const;
   [[nodiscard]] double listed_weight(const Backend& b) const;
   [[nodiscard]] Tally tally(const Backend& b, std::size_t rounds, Instant since) const;
-  [[nodiscard]] bool failing(const Backend& b) const;
-  [[nodiscard]] bool proving(const Backend& b) const;
+  [[nodiscard]] double lateness(const Backend& b, Instant since) const;
+  [[nodiscard]] Verdict judge(const Backend& b) const;
   [[nodiscard]] bool may_condemn(const Backend& b) const;
   [[nodiscard]] double pressure() const;
   [[nodiscard]] double common_errors() const;
@@ -159,14 +161,15 @@
   std::map<BackendId, Backend> roster;
   std::map<ZoneId, Ladder> zones;
   std::vector<BackendReport> round;
-  std::deque<Round> rounds;
-  double strain = 0;       // errors that all share, over the last two rounds
+  double strain = 0;          // errors that all share, over the last two rounds
+  double objective = 1;       // mean latency objective, s
+  double usual_lateness = 0;  // the median backend's, s
   std::map<std::pair<ProxyId, OperationId>, Demand> demand;
   std::vector<ProxyId> joined;  // wait for their binding
 
   std::map<BackendId, double> wanted_lines;
   std::vector<Level> wanted_levels;
-  bool urgent = false;
+  std::deque<std::vector<Level>> level_log;  // of the last two rounds: reports answer to the first
 
   std::map<BackendId, double> lines;
   std::vector<Level> levels;
@@ -259,8 +262,11 @@
   }
   round.clear();
   strain = common_errors();
-  rounds.push_back({(all.tries - all.errored) / s.report_every.seconds(), strain});
-  if (rounds.size() > 2) rounds.pop_front();
+  std::vector<double> all_late;
+  for (const auto& [id, b] : roster)
+    if (const double late = lateness(b, now - s.report_every * 5); late > 0) all_late.push_back(late);
+  std::sort(all_late.begin(), all_late.end());
+  usual_lateness = all_late.empty() ? 0 : all_late[all_late.size() / 2];
   want_levels();
 }
 
@@ -279,15 +285,25 @@
 
 double Policy::State::listed_weight(const Backend& b) const { return b.listed.weight > 0 ? b.listed.weight : 1; }
 
-Tally Policy::State::tally(const Backend& b, std::size_t rounds, Instant since) const {
+Tally Policy::State::tally(const Backend& b, std::size_t most, Instant since) const {
   Tally t;
-  for (auto it = b.samples.rbegin(); it != b.samples.rend() && rounds > 0 && it->heard > since; ++it, --rounds)
+  for (auto it = b.samples.rbegin(); it != b.samples.rend() && most > 0 && it->heard > since; ++it, --most)
     t += Tally{it->tries, it->errored, it->expected};
   return t;
 }
 
-// A backend's failure signal: many errors beside its peers, or answers that are missing.
-bool Policy::State::failing(const Backend& b) const {
+// Mean time to an answer over the last rounds; an error counts as two objectives. 0: too few to tell.
+double Policy::State::lateness(const Backend& b, Instant since) const {
+  double sum = 0, n = 0;
+  std::size_t k = 0;
+  for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 4 && it->heard > since; ++it, ++k)
+    sum += (it->tries - it->errored) * it->latency + it->errored * 2 * objective, n += it->tries;
+  return n >= 6 ? sum / n : 0;
+}
+
+// A backend's signal: many errors beside its peers or answers that are missing (failed), or answers
+// that come too late to count while its peers' do not (slow).
+Verdict Policy::State::judge(const Backend& b) const {
   // Evidence on a step counts once its effect can have been heard.
   const Span lag = s.report_every + Span::seconds(1.0);
   const Instant since = b.ladder.whole() ? Instant::at_seconds(-1e9) : b.ladder.changed + lag;
@@ -295,17 +311,22 @@
   Tally peers;
   for (const auto& [id, p] : roster)
     if (&p != &b && p.ladder.share > 0) peers += tally(p, 2, now - s.report_every * 3);
-  // Errors: a third of four answers or more, and three times the peers' share. In an overload all
-  // fail alike, and none is condemned.
-  if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) return true;
   // Missing: silence where 7 tries were due (by chance once in a thousand rounds). Where all lines
   // are late nothing is due, since what is due is a part of what was heard.
-  return own.expected >= 7 && own.tries < 0.1 * own.expected;
-}
-
-bool Policy::State::proving(const Backend& b) const {
-  const Tally own = tally(b, kRoundsKept, b.ladder.changed + s.report_every);
-  return own.tries >= 2 && own.share() < 0.2;
+  if (own.expected >= 7 && own.tries < 0.1 * own.expected) return Verdict::failed;
+  const double late = lateness(b, since);
+  const bool slow = late > std::max(0.6 * objective, 1.7 * usual_lateness);
+  // Errors: a third of four answers or more, and three times the peers' share. In an overload all
+  // fail alike, and none is condemned. Errors beside late answers are an overload of this one.
+  if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) {
+    double answered = 0;
+    for (auto it = b.samples.rbegin(); it != b.samples.rend() && it->heard > since; ++it)
+      if (it->latency > 0) answered = std::max(answered, it->latency);
+    const bool some = own.share() < 0.9 && answered > std::max(0.6 * objective, 1.5 * usual_lateness);
+    return some ? Verdict::slow : Verdict::failed;
+  }
+  if (slow) return Verdict::slow;
+  return own.tries >= 2 && own.share() < 0.2 && late < 1.3 * usual_lateness ? Verdict::well : Verdict::unknown;
 }
 
 // Panic bound: a view that condemns more than two fifths of the weight is likelier wrong than right.
@@ -315,7 +336,7 @@
   for (const auto& [id, p] : roster) {
     if (!ready(p)) continue;
     total += listed_weight(p);
-    if (&p != &b && (p.ladder.share < 0.5 || p.ladder.falling)) out_weight += listed_weight(p);
+    if (&p != &b) out_weight += listed_weight(p) * (p.ladder.falling ? 1 : 1 - p.ladder.share);
   }
   return out_weight <= 0.4 * total;
 }
@@ -327,9 +348,10 @@
   double total = 0;
   for (const auto& [id, b] : roster) total += ready(b) ? listed_weight(b) : 0;
   for (auto& [id, b] : roster) {
-    const bool bad = failing(b) && may_condemn(b);
+    Verdict verdict = judge(b);
+    if (verdict >= Verdict::slow && !may_condemn(b)) verdict = Verdict::unknown;
     const double trial = std::min(1.0, 0.01 * total / listed_weight(b));
-    b.ladder.advance(now, steps, bad, proving(b), !s.may_probe || b.probe_well, trial);
+    b.ladder.advance(now, steps, verdict, !s.may_probe || b.probe_well, trial);
   }
 }
 
@@ -360,9 +382,9 @@
     if (!bad) ladder.bad_since.reset();
     if (bad && !ladder.bad_since) ladder.bad_since = now;
     const bool sustained = bad && now - *ladder.bad_since >= Span::seconds(3);
-    const bool low = own.share() <= 0.05;
+    const Verdict verdict = sustained ? Verdict::failed : own.share() <= 0.05 ? Verdict::well : Verdict::unknown;
     const double trial = weight[zone] > 0 ? std::min(1.0, 0.01 * total / weight[zone]) : 1;
-    ladder.advance(now, steps, sustained, low, true, trial);
+    ladder.advance(now, steps, verdict, true, trial);
   }
 }
 
@@ -372,7 +394,7 @@
   for (const auto& [id, b] : roster) {
     if (b.samples.empty() || b.ladder.share <= 0) continue;
     double busy = 0, k = 0;
-    for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 2; ++it)
+    for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 1; ++it)
       if (it->load.busy) busy += *it->load.busy, ++k;
     if (k > 0) sum += busy / k, ++n;
   }
@@ -444,7 +466,7 @@
   const bool by_rate = s.level_kind == LevelKind::rate;
   wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
 
-  if (s.level_kind == LevelKind::off || rounds.empty()) return;
+  if (s.level_kind == LevelKind::off ) return;
 
   // The settings tell no cost; the latency objective is their only hint of it.
   const auto cost = [&](std::size_t k) { return s.operations[k].latency_objective.seconds(); };
@@ -454,30 +476,26 @@
     for (const double rate : d.rates) mean += rate / static_cast<double>(d.rates.size());
     arriving[key.second.value].push_back(mean);
   }
-  std::vector<double> asked(n, 0);
-  double admitted = 0, admitted_cost = 0;
+  std::vector<double> wishes(n, 0);
+  double admitted = 0;  // cost a second, under the levels that the reports have seen
   for (std::size_t k = 0; k < n; ++k) {
-    double in = 0;
+    const double level = level_log.empty() ? kNoLevel : level_log.front()[k].level;
     for (const double rate : arriving[k]) {
-      asked[k] += rate;
-      in += by_rate ? std::min(rate, wanted_levels[k].level) : rate * std::min(1.0, wanted_levels[k].level);
+      wishes[k] += rate;
+      admitted += cost(k) * (by_rate ? std::min(rate, level) : rate * std::min(1.0, level));
     }
-    admitted += in, admitted_cost += in * cost(k);
   }
-  const double busy = pressure();
-  if (admitted <= 0 || busy <= 0) return;
-  double succeeded = 0;
-  for (const Round& r : rounds) succeeded += r.succeeded / static_cast<double>(rounds.size());
-  // Use beyond 0.85 of the processors is queues at the slower backends; errors in common say the same.
-  const double target = strain > 0.2 ? 0.7 : 0.85;
-  double allowed = target * succeeded / busy * admitted_cost / admitted;
-  allowed = std::clamp(allowed, 0.5 * admitted_cost, 1.25 * admitted_cost);  // one round may be off
+  // Use beyond 0.85 of the processors is queues at the slower backends; common errors and a common
+  // lateness beyond half the objective say how far beyond it is.
+  const double use = pressure() * (1 + strain) * std::max(1.0, usual_lateness / (0.5 * objective));
+  if (admitted <= 0 || use <= 0) return;
+  double allowed = admitted * std::clamp(0.85 / use, 0.5, 1.5);  // one round may be off
   std::vector<std::size_t> order(n);
   for (std::size_t k = 0; k < n; ++k) order[k] = k;
   const auto density = [&](std::size_t k) { return s.operations[k].billed_value / cost(k); };
   std::stable_sort(order.begin(), order.end(), [&](auto a, auto b) { return density(a) > density(b); });
   for (const std::size_t k : order) {
-    const double wish = asked[k] * cost(k);
+    const double wish = wishes[k] * cost(k);
     const double share = wish > 0 ? std::clamp(allowed / wish, 0.02, 1.0) : 1;
     allowed -= share * wish;
     double level = share;
@@ -485,7 +503,7 @@
       level = kNoLevel;
       auto& rates = arriving[k];
       std::sort(rates.begin(), rates.end());
-      double left = share * asked[k];
+      double left = share * wishes[k];
       for (std::size_t p = 0; share < 1 && p < rates.size(); ++p) {
         const double even = left / static_cast<double>(rates.size() - p);
         if (rates[p] >= even) {
@@ -497,6 +515,8 @@
     }
     wanted_levels[k].level = level;
   }
+  level_log.push_back(wanted_levels);
+  if (level_log.size() > 2) level_log.pop_front();
 }
 
 // ---- What is ordered -----------------------------------------------------------------------------
