--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -20,18 +20,18 @@
 
 namespace {
 
-constexpr TableId kTable{0};                       // the one shared table
-const Span kTick = Span::seconds(0.25);            // finer than any timer below, far above the host's resolution
-constexpr double kNoLevel = 1e6;                   // a rate that no proxy reaches: everything is let in
-constexpr std::size_t kRoundsKept = 8;             // longest look-back below (zones: 200 answers) in rounds
+constexpr TableId kTable{0};             // the one shared table
+const Span kTick = Span::seconds(0.25);  // finer than any timer below, far above the host's resolution
+constexpr double kNoLevel = 1e6;         // a rate that no proxy reaches: everything is let in
+constexpr std::size_t kRoundsKept = 8;   // longest look-back below (zones: 200 answers) in rounds
 
 // One report round as it bears on one backend.
 struct Sample {
   Instant heard;
   double tries = 0;
   double errored = 0;
-  double expected = 0;    // tries due to it by weight; 0 while its weight is on the move
-  double latency = 0;     // mean of the succeeded, s
+  double expected = 0;  // tries due to it by weight; 0 while its weight is on the move
+  double latency = 0;   // mean of the succeeded, s
   LoadReport load;
 };
 
@@ -51,10 +51,10 @@
 
 // The steps of a ladder; two scopes use it.
 struct Steps {
-  double down;      // part of the full share taken each step of a drain
+  double down;  // part of the full share taken each step of a drain
   Span down_every;
-  Span hold;        // from the end of the drain to the trial
-  double up;        // part of the full share given back each step
+  Span hold;  // from the end of the drain to the trial
+  double up;  // part of the full share given back each step
   Span up_every;
 };
 
@@ -68,7 +68,9 @@
 
   [[nodiscard]] bool whole() const { return share >= 1 && !falling; }
   void advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial);
-  void move(double to, Instant now, Span wait) { share = std::clamp(to, 0.0, 1.0), changed = now, next = now + wait; }
+  void move(double to, Instant now, Span wait) {
+    share = std::clamp(to, 0.0, 1.0), changed = now, next = now + wait;
+  }
 };
 
 void Ladder::advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial) {
@@ -240,7 +242,8 @@
     auto& sample = heard[r.backend];
     const double ok = r.tries - r.errored;
     const double ok_before = sample.tries - sample.errored;
-    if (ok > 0) sample.latency = (sample.latency * ok_before + r.mean_latency.seconds() * ok) / (ok_before + ok);
+    if (ok > 0)
+      sample.latency = (sample.latency * ok_before + r.mean_latency.seconds() * ok) / (ok_before + ok);
     sample.tries += r.tries;
     sample.errored += r.errored;
     if (r.load.busy) sample.load.busy = r.load.busy;
@@ -250,7 +253,8 @@
   }
   double total = 0;
   for (const auto& [id, weight] : lines) total += weight;
-  const Span settled = s.report_every * 2 + Span::seconds(1.5);  // a round's own span, its delay and an order's way
+  const Span settled =
+      s.report_every * 2 + Span::seconds(1.5);  // a round's own span, its delay and an order's way
   for (auto& [id, b] : roster) {
     Sample sample = heard[id];
     sample.heard = now;
@@ -283,7 +287,9 @@
   return sure * sure * std::max(0.1, 1 - strain);
 }
 
-double Policy::State::listed_weight(const Backend& b) const { return b.listed.weight > 0 ? b.listed.weight : 1; }
+double Policy::State::listed_weight(const Backend& b) const {
+  return b.listed.weight > 0 ? b.listed.weight : 1;
+}
 
 Tally Policy::State::tally(const Backend& b, std::size_t most, Instant since) const {
   Tally t;
@@ -326,7 +332,8 @@
     return some ? Verdict::slow : Verdict::failed;
   }
   if (slow) return Verdict::slow;
-  return own.tries >= 2 && own.share() < 0.2 && late < 1.3 * usual_lateness ? Verdict::well : Verdict::unknown;
+  return own.tries >= 2 && own.share() < 0.2 && late < 1.3 * usual_lateness ? Verdict::well
+                                                                            : Verdict::unknown;
 }
 
 // Panic bound: a view that condemns more than two fifths of the weight is likelier wrong than right.
@@ -382,7 +389,9 @@
     if (!bad) ladder.bad_since.reset();
     if (bad && !ladder.bad_since) ladder.bad_since = now;
     const bool sustained = bad && now - *ladder.bad_since >= Span::seconds(3);
-    const Verdict verdict = sustained ? Verdict::failed : own.share() <= 0.05 ? Verdict::well : Verdict::unknown;
+    const Verdict verdict = sustained             ? Verdict::failed
+                            : own.share() <= 0.05 ? Verdict::well
+                                                  : Verdict::unknown;
     const double trial = weight[zone] > 0 ? std::min(1.0, 0.01 * total / weight[zone]) : 1;
     ladder.advance(now, steps, verdict, true, trial);
   }
@@ -466,7 +475,7 @@
   const bool by_rate = s.level_kind == LevelKind::rate;
   wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
 
-  if (s.level_kind == LevelKind::off ) return;
+  if (s.level_kind == LevelKind::off) return;
 
   // The settings tell no cost; the latency objective is their only hint of it.
   const auto cost = [&](std::size_t k) { return s.operations[k].latency_objective.seconds(); };
@@ -549,7 +558,9 @@
   std::vector<Order> level_changes;
   for (std::size_t k = 0; k < wanted_levels.size(); ++k) {
     const Level& w = wanted_levels[k];
-    if (k < levels.size() && levels[k].tries == w.tries && std::abs(levels[k].level - w.level) < 0.03 * w.level) continue;
+    if (k < levels.size() && levels[k].tries == w.tries &&
+        std::abs(levels[k].level - w.level) < 0.03 * w.level)
+      continue;
     level_changes.emplace_back(SetLevel{kTable, OperationId{static_cast<std::uint8_t>(k)}, w.tries, w.level});
   }
   const double cost = static_cast<double>(changes.size() + level_changes.size());
@@ -563,7 +574,8 @@
       for (auto* list : {&changes, &level_changes}) out.insert(out.end(), list->begin(), list->end());
       for (auto& [id, b] : roster) {
         const auto before = lines.find(id), after = wanted_lines.find(id);
-        if ((before == lines.end() ? 0 : before->second) != (after == wanted_lines.end() ? 0 : after->second)) b.line_moved = now;
+        if ((before == lines.end() ? 0 : before->second) != (after == wanted_lines.end() ? 0 : after->second))
+          b.line_moved = now;
       }
       lines = wanted_lines;
       levels = wanted_levels;
@@ -598,11 +610,14 @@
   return std::move(out);
 }
 
-Policy::Policy(Settings settings, std::uint64_t seed) : state_{std::make_unique<State>(std::move(settings), seed)} {}
+Policy::Policy(Settings settings, std::uint64_t seed)
+    : state_{std::make_unique<State>(std::move(settings), seed)} {}
 Policy::Policy(Policy&&) noexcept = default;
 Policy& Policy::operator=(Policy&&) noexcept = default;
 Policy::~Policy() = default;
 
-std::vector<Order> Policy::handle(Instant now, const std::vector<Event>& events) { return state_->handle(now, events); }
+std::vector<Order> Policy::handle(Instant now, const std::vector<Event>& events) {
+  return state_->handle(now, events);
+}
 
 }  // namespace gorsemount
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -104,7 +104,8 @@
   int unanswered = 0;
   Span over;
 };
-using Event = std::variant<Listed, TimerFired, ProbeAnswered, ProxyJoined, ProxyLeft, BackendReport, DemandReport>;
+using Event =
+    std::variant<Listed, TimerFired, ProbeAnswered, ProxyJoined, ProxyLeft, BackendReport, DemandReport>;
 
 struct SetLine {
   TableId table;
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,108 @@
+// The module through its interface: one test for each guard.
+#include "helpers.hpp"
+
+namespace gorsemount::testing {
+
+TEST(Table, OneSharedTableHoldsEveryBackendByListedWeight) {
+  Bench b{settings()};
+  EXPECT_EQ(b.table.size(), 12U);
+  EXPECT_EQ(b.bound.size(), 2U);
+  b.rounds(5);
+  EXPECT_EQ(b.count<SetLine>(), 0);
+  for (unsigned k = 0; k < b.size; ++k) EXPECT_DOUBLE_EQ(b.weight(k), 1);
+}
+
+TEST(Rules, ADrainIsCutInTheReplyThatLearnsOfIt) {
+  Bench b{settings()};
+  b.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::draining)}}});
+  EXPECT_EQ(b.weight(3), 0);
+  b.tell({Listed{ListScope::changes, {Bench::entry(4, Availability::gone)}}});
+  EXPECT_EQ(b.weight(4), 0);
+}
+
+TEST(Rules, AStartIsCutInTheReplyThatLearnsOfItAndRampsToFull) {
+  Bench b{settings()};
+  b.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, b.now)}}});
+  EXPECT_GT(b.weight(3), 0);
+  EXPECT_LE(b.weight(3), 0.2);
+  b.rounds(20);
+  EXPECT_DOUBLE_EQ(b.weight(3), 1);
+}
+
+TEST(Rules, TheLastWarmLinesStay) {
+  Bench b{settings()};
+  b.rounds(30, [](unsigned, BackendReport& r) { r.errored = r.tries; });
+  EXPECT_GE(b.table.size(), 6U);
+}
+
+TEST(Rules, AListThatMustBeAskedForIsAskedForAgainAfterAFailure) {
+  Settings s = settings();
+  s.ask_for_list = true;
+  Bench b{s};
+  EXPECT_EQ(b.count<FollowList>(), 1);
+  b.tell({Listed{ListScope::failed, {}}});
+  EXPECT_EQ(b.count<FollowList>(), 0);
+  b.now = b.now + Span::seconds(1.5);
+  b.tell({TimerFired{}});
+  EXPECT_EQ(b.count<FollowList>(), 1);
+}
+
+TEST(Ladder, ABackendThatFailsFastGoesOutAndIsTriedAgain) {
+  Bench b{settings()};
+  b.rounds(3);
+  b.rounds(2, [](unsigned k, BackendReport& r) { r.errored = k == 5 ? 8 : 0; });
+  EXPECT_EQ(b.weight(5), 0);
+  EXPECT_DOUBLE_EQ(b.weight(6), 1);
+  b.rounds(6);
+  EXPECT_GT(b.weight(5), 0);
+  EXPECT_LT(b.weight(5), 1);
+  b.rounds(20);
+  EXPECT_DOUBLE_EQ(b.weight(5), 1);
+}
+
+TEST(Ladder, ABackendThatIsNotHeardOfGoesOut) {
+  Bench b{settings()};
+  b.rounds(6);
+  b.rounds(2, [](unsigned k, BackendReport& r) { r.tries = k == 5 ? 0 : 10; });
+  EXPECT_EQ(b.weight(5), 0);
+}
+
+TEST(Ladder, WhenAllLinesAreLateNobodyGoesOut) {
+  Bench b{settings()};
+  b.rounds(6);
+  b.rounds(6, [](unsigned, BackendReport& r) { r.tries = 0; });
+  EXPECT_EQ(b.table.size(), 12U);
+}
+
+TEST(Ladder, ASlowBackendGetsLessButStaysIn) {
+  Bench b{settings()};
+  b.rounds(12, [](unsigned k, BackendReport& r) { r.mean_latency = Span::seconds(k == 5 ? 1.5 : 0.2); });
+  EXPECT_GT(b.weight(5), 0);
+  EXPECT_LT(b.weight(5), 0.8);
+}
+
+TEST(Ladder, AZoneThatFailsAsAWholeDrainsByThirdsAndClimbsByTenths) {
+  Bench b{settings()};
+  const auto failing = [](unsigned k, BackendReport& r) { r.errored = k % 3 == 1 ? 2 : 0; };
+  b.rounds(9, failing);
+  EXPECT_NEAR(b.weight(1), 2.0 / 3, 0.01);
+  b.rounds(6, failing);
+  EXPECT_EQ(b.weight(1), 0);
+  EXPECT_DOUBLE_EQ(b.weight(0), 1);
+  b.rounds(14);
+  EXPECT_GT(b.weight(1), 0);
+  EXPECT_LT(b.weight(1), 0.5);
+  b.rounds(40);
+  EXPECT_DOUBLE_EQ(b.weight(1), 1);
+}
+
+TEST(Levels, OverloadTakesFromTheLeastBilledFirstAndGivesBack) {
+  Bench b{settings()};
+  b.rounds(2, [](unsigned, BackendReport& r) { r.load.busy = 1.0, r.mean_latency = Span::seconds(0.6); });
+  EXPECT_LT(b.levels[OperationId{0}], 0.9);
+  EXPECT_DOUBLE_EQ(b.levels[OperationId{1}], 1);
+  b.rounds(12, [](unsigned, BackendReport& r) { r.load.busy = 0.4; });
+  EXPECT_DOUBLE_EQ(b.levels[OperationId{0}], 1);
+}
+
+}  // namespace gorsemount::testing
--- /dev/null
+++ b/tests/rules_model_test.cpp
@@ -0,0 +1,186 @@
+// A slow, plain model of the rules beside the module, on generated days: joins, leaves, storms, restarts,
+// drains and starts, under made-up settings of all three kinds of level. Both must agree on what is allowed.
+#include <deque>
+#include <random>
+
+#include "helpers.hpp"
+
+namespace gorsemount::testing {
+
+namespace {
+
+struct Known {
+  Listed::Entry entry;
+  Instant learned;
+};
+
+// What the rules allow, by the plainest reading: everything is looked at anew after each reply.
+class Model {
+ public:
+  explicit Model(const Settings& s) : s_{s} {}
+
+  void learn(Instant now, const Listed& listed) {
+    for (const auto& e : listed.entries) {
+      if (e.availability == Availability::gone)
+        known_.erase(e.backend);
+      else
+        known_[e.backend] = {e, now};
+    }
+  }
+  void join(ProxyId p) { joined_.insert(p), bound_.erase(p); }
+  void leave(ProxyId p) { joined_.erase(p), bound_.erase(p); }
+  void restart() { joined_.clear(), bound_.clear(), table_.clear(), log_.clear(), waiting_ = 0; }
+
+  void take(Instant now, const std::vector<Order>& orders) {
+    std::map<ProxyId, double> message;
+    for (const auto& order : orders) {
+      if (const auto* line = std::get_if<SetLine>(&order)) {
+        if (line->weight > 0)
+          table_[line->backend] = line->weight;
+        else
+          table_.erase(line->backend);
+        for (const auto p : bound_) message[p] += 1;
+      } else if (const auto* level = std::get_if<SetLevel>(&order)) {
+        ++levels_;
+        EXPECT_TRUE(s_.operations.at(level->operation.value).effect == Effect::idempotent ||
+                    level->tries <= FurtherTries::after_proof);
+        EXPECT_GE(level->level, 0);
+        for (const auto p : bound_) message[p] += 1;
+      } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
+        EXPECT_TRUE(joined_.contains(bind->proxy));
+        bound_.insert(bind->proxy);
+        message[bind->proxy] += 1 + static_cast<double>(table_.size() + s_.operations.size());
+      } else if (const auto* probe = std::get_if<ProbeBackend>(&order)) {
+        EXPECT_TRUE(s_.may_probe && known_.contains(probe->backend));
+      }
+    }
+    waiting_ = std::max(0.0, waiting_ - (now - seen_).seconds() * s_.push_rate);
+    seen_ = now;
+    for (const auto& [p, cost] : message) {
+      waiting_ += cost + s_.per_message;
+      auto& log = log_[p];
+      log.push_back(now);
+      while (now - log.front() > s_.messages_window) log.pop_front();
+      if (s_.messages_most > 0) {
+        EXPECT_LE(log.size(), static_cast<std::size_t>(s_.messages_most)) << "rule 5, messages";
+      }
+    }
+    EXPECT_LE(waiting_, s_.backlog) << "rule 5, lines";
+    check(now);
+  }
+
+ private:
+  void check(Instant now) const {
+    double warm = 0, warm_weight = 0;
+    for (const auto& [id, k] : known_) {
+      const bool ready = k.entry.availability == Availability::ready;
+      const auto line = table_.find(id);
+      if (!ready) {
+        EXPECT_EQ(line, table_.end()) << "rule 3: draining";
+        continue;
+      }
+      const double age = k.entry.started ? (now - *k.entry.started).seconds() / s_.cold_for.seconds() : 1;
+      warm += age >= 1 ? 1 : 0;
+      if (line == table_.end()) continue;
+      warm_weight += age >= 1 ? line->second : 0;
+      // Twice what it is sure to have leaves room below every multiple that a deployment sets.
+      if (age < 1) {
+        EXPECT_LE(line->second, 2 * (s_.cold_from + (1 - s_.cold_from) * age)) << "rule 4";
+      }
+    }
+    for (const auto& [id, weight] : table_) EXPECT_TRUE(known_.contains(id)) << "rule 3: gone";
+    if (warm > 0) {
+      EXPECT_GT(warm_weight, 0) << "rule 1: no warm line";
+      EXPECT_EQ(bound_, joined_) << "rule 1: a proxy is not bound";
+    }
+  }
+
+  Settings s_;
+  std::map<BackendId, Known> known_;
+  std::set<ProxyId> joined_, bound_;
+  std::map<BackendId, double> table_;
+  std::map<ProxyId, std::deque<Instant>> log_;
+  int levels_ = 0;
+  double waiting_ = 0;
+  Instant seen_;
+};
+
+void play(std::uint32_t seed) {
+  std::mt19937 dice{seed};
+  const auto roll = [&](int n) { return static_cast<int>(std::uniform_int_distribution<>{0, n - 1}(dice)); };
+  Settings s = settings(static_cast<LevelKind>(seed % 3));
+  s.may_probe = seed % 2 == 0;
+  s.messages_most = seed % 4 == 0 ? 30 : 0;
+  Policy policy{s, seed};
+  Model model{s};
+  Instant now = Instant::at_seconds(50);
+  std::map<BackendId, Listed::Entry> fleet;
+  std::set<ProxyId> present;
+  for (unsigned k = 0; k < 15; ++k)
+    fleet[BackendId{k}] = {BackendId{k}, ZoneId{static_cast<std::uint16_t>(k % 3)}, {}, 1.0 + k % 2, {}};
+  const auto whole = [&](ListScope scope) {
+    Listed l{scope, {}};
+    for (const auto& [id, e] : fleet) l.entries.push_back(e);
+    return l;
+  };
+  std::vector<Event> events{whole(ListScope::remembered)};
+  model.learn(now, whole(ListScope::remembered));
+  for (int step = 0; step < 400; ++step) {
+    if (roll(4) == 0) {  // one proxy, or a storm of all of them
+      for (std::uint16_t p = 0; p < 20; ++p) {
+        const bool storm = step % 50 == 49;
+        if (!storm && roll(10) != 0) continue;
+        if (present.erase(ProxyId{p}) > 0)
+          events.emplace_back(ProxyLeft{ProxyId{p}}), model.leave(ProxyId{p});
+        if (storm || roll(2) == 0)
+          present.insert(ProxyId{p}), events.emplace_back(ProxyJoined{ProxyId{p}, roll(2) == 0}),
+              model.join(ProxyId{p});
+      }
+    }
+    if (roll(12) == 0) {
+      auto& e = fleet[BackendId{static_cast<std::uint32_t>(roll(12))}];  // three are never touched
+      if (e.availability == Availability::ready)
+        e.availability = roll(2) == 0 ? Availability::draining : Availability::gone;
+      else
+        e.availability = Availability::ready, e.started = now;
+      const Listed change{ListScope::changes, {e}};
+      events.emplace_back(change), model.learn(now, change);
+    }
+    if (step % 4 == 3) {
+      const int sick = roll(3) == 0 ? roll(15) : -1;
+      for (const auto& [id, e] : fleet)
+        if (e.availability == Availability::ready)
+          events.emplace_back(BackendReport{ZoneId{0},
+                                            id,
+                                            8,
+                                            static_cast<int>(id.value) == sick ? 8 : roll(3),
+                                            Span::seconds(0.1 + roll(15) * 0.1),
+                                            s.report_every,
+                                            {roll(12) * 0.1, {}, {}}});
+      for (const auto p : present)
+        events.emplace_back(
+            DemandReport{p, OperationId{static_cast<std::uint8_t>(roll(2))}, roll(30), 0, s.report_every});
+    }
+    if (step == 200) {
+      policy = Policy{s, seed + 1};
+      model.restart(), present.clear();
+      std::erase_if(fleet, [](const auto& row) { return row.second.availability == Availability::gone; });
+      events = {whole(ListScope::remembered)};
+    }
+    model.take(now, policy.handle(now, events));
+    events = {TimerFired{}};
+    now = now + s.report_every * 0.25;
+  }
+}
+
+}  // namespace
+
+TEST(RulesModel, AgreesWithTheModuleOnGeneratedDays) {
+  for (std::uint32_t seed = 1; seed <= 24; ++seed) {
+    SCOPED_TRACE(seed);
+    play(seed);
+    if (HasFailure()) return;
+  }
+}
+
+}  // namespace gorsemount::testing
