Hold newcomers out while half of all tries fail

Guards also against a restart into a collapse; costs the newcomer's capacity until the failure eases.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -278,13 +278,13 @@
 
 // The part of full weight that a starting backend may have: by what the settings guarantee of its
 // capacity, squared, since a short burst or a slow machine must not tip it. Proxies leave lines that
-// fail them and press on the rest, so in a general failure a newcomer gets less by the part that fails.
+// fail them and press on the rest, whatever its weight: when half of all fails, a newcomer stays out.
 double Policy::State::warmth(const Backend& b) const {
   if (!b.listed.started || s.cold_for <= Span{}) return 1;
   const double age = (now - *b.listed.started).seconds() / s.cold_for.seconds();
   if (age >= 1) return 1;
   const double sure = std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
-  return sure * sure * std::max(0.1, 1 - strain);
+  return strain > 0.5 ? 0 : sure * sure * (1 - strain);
 }
 
 double Policy::State::listed_weight(const Backend& b) const {
@@ -456,7 +456,7 @@
   // Never take away the last warm lines: with none left the ladders no longer bind.
   if (warm <= 0)
     for (const auto& [id, b] : roster)
-      if (ready(b)) wanted_lines[id] = listed_weight(b) * warmth(b);
+      if (ready(b)) wanted_lines[id] = listed_weight(b) * std::max(0.01, warmth(b));
   // A rising line waits until it is worth a message; a falling one does not.
   for (auto& [id, weight] : wanted_lines) {
     const auto present = lines.find(id);
@@ -547,7 +547,7 @@
     if (wanted_lines.contains(id)) continue;
     changes.emplace_back(SetLine{kTable, id, 0});
     const auto b = roster.find(id);
-    must = must || b == roster.end() || !ready(b->second);
+    must = must || b == roster.end() || !ready(b->second) || warmth(b->second) < 1;
   }
   for (const auto& [id, weight] : wanted_lines) {
     const auto present = lines.find(id);
