--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -321,7 +321,7 @@
   // are late nothing is due, since what is due is a part of what was heard.
   if (own.expected >= 7 && own.tries < 0.1 * own.expected) return Verdict::failed;
   const double late = lateness(b, since);
-  const bool slow = late > std::max(0.6 * objective, 1.7 * usual_lateness);
+  const bool slow = late > std::max(0.5 * objective, 1.3 * usual_lateness);
   // Errors: a third of four answers or more, and three times the peers' share. In an overload all
   // fail alike, and none is condemned. Errors beside late answers are an overload of this one.
   if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) {
@@ -332,7 +332,7 @@
     return some ? Verdict::slow : Verdict::failed;
   }
   if (slow) return Verdict::slow;
-  return own.tries >= 2 && own.share() < 0.2 && late < 1.3 * usual_lateness ? Verdict::well
+  return own.tries >= 2 && own.share() < 0.2 && late < 1.1 * usual_lateness ? Verdict::well
                                                                             : Verdict::unknown;
 }
 
