Set levels by what the fleet carried over the last rounds

Now the upper quarter of the last rounds' carried cost per use and listed weight is the measure, with a slow trim.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -171,6 +171,10 @@
 
   std::map<BackendId, double> wanted_lines;
   std::vector<Level> wanted_levels;
+  std::deque<double> carried;  // the last rounds: cost a second for full use, by listed weight
+  double succeeded = 0;        // a second, in the last round
+  double trim = 1;
+  bool limiting = false;                     // some level is below full
   std::deque<std::vector<Level>> level_log;  // of the last two rounds: reports answer to the first
 
   std::map<BackendId, double> lines;
@@ -266,6 +270,7 @@
   }
   round.clear();
   strain = common_errors();
+  succeeded = (all.tries - all.errored) / s.report_every.seconds();
   std::vector<double> all_late;
   for (const auto& [id, b] : roster)
     if (const double late = lateness(b, now - s.report_every * 5); late > 0) all_late.push_back(late);
@@ -486,19 +491,34 @@
     arriving[key.second.value].push_back(mean);
   }
   std::vector<double> wishes(n, 0);
-  double admitted = 0;  // cost a second, under the levels that the reports have seen
+  double admitted = 0, admitted_cost = 0;  // a second, under the levels that the reports have seen
   for (std::size_t k = 0; k < n; ++k) {
     const double level = level_log.empty() ? kNoLevel : level_log.front()[k].level;
     for (const double rate : arriving[k]) {
-      wishes[k] += rate;
-      admitted += cost(k) * (by_rate ? std::min(rate, level) : rate * std::min(1.0, level));
+      const double in = by_rate ? std::min(rate, level) : rate * std::min(1.0, level);
+      wishes[k] += rate, admitted += in, admitted_cost += in * cost(k);
     }
   }
-  // Use beyond 0.85 of the processors is queues at the slower backends; common errors and a common
-  // lateness beyond half the objective say how far beyond it is.
-  const double use = pressure() * (1 + strain) * std::max(1.0, usual_lateness / (0.5 * objective));
-  if (admitted <= 0 || use <= 0) return;
-  double allowed = admitted * std::clamp(0.85 / use, 0.5, 1.5);  // one round may be off
+  if (admitted <= 0) return;
+  // What the fleet can carry is what it carried for its use of processors, by the listed weight in use.
+  // A jam hides it, and a repeat swells what comes: so the upper quarter of the last rounds counts.
+  double in_use = 0;
+  for (const auto& [id, b] : roster) in_use += lines.contains(id) ? listed_weight(b) * warmth(b) : 0;
+  const double busy = pressure();
+  if (busy < 0.3 || in_use <= 0) return;  // too idle to tell
+  carried.push_back(succeeded * admitted_cost / admitted / busy / in_use);
+  if (carried.size() > kRoundsKept) carried.pop_front();
+  std::vector<double> sorted(carried.begin(), carried.end());
+  std::sort(sorted.begin(), sorted.end());
+  const double able = sorted[sorted.size() * 3 / 4 < sorted.size() ? sorted.size() * 3 / 4 : 0] * in_use;
+  // A slow trim for what that misses: dearer work, queues to clear, levels that let in less than they say.
+  const bool jammed = strain > 0.1 || usual_lateness > 0.6 * objective;
+  if (jammed)
+    trim = std::max(0.6, trim * 0.85);
+  else if (trim < 1 || (limiting && busy < 0.75))
+    trim = std::min(1.3, trim * 1.1);
+  double allowed = 0.85 * trim * able;  // beyond 0.85 of the processors the slower backends queue
+  limiting = false;
   std::vector<std::size_t> order(n);
   for (std::size_t k = 0; k < n; ++k) order[k] = k;
   const auto density = [&](std::size_t k) { return s.operations[k].billed_value / cost(k); };
@@ -507,6 +527,7 @@
     const double wish = wishes[k] * cost(k);
     const double share = wish > 0 ? std::clamp(allowed / wish, 0.02, 1.0) : 1;
     allowed -= share * wish;
+    limiting = limiting || share < 1;
     double level = share;
     if (by_rate) {  // the common rate at which the proxies together let in this share
       level = kNoLevel;
@@ -524,6 +545,7 @@
     }
     wanted_levels[k].level = level;
   }
+  if (!limiting) trim = std::min(trim, 1.0);
   level_log.push_back(wanted_levels);
   if (level_log.size() > 2) level_log.pop_front();
 }
