Take demand as last told, and the carried measure outside jams only

Cause: a mean over two rounds of rising traffic acts a round late, which is when the jam forms; and a jam hides what the fleet can carry.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -111,10 +111,6 @@
   double level = 1;
 };
 
-struct Demand {
-  std::deque<double> rates;  // invocations a second, the last rounds
-};
-
 }  // namespace
 
 struct Policy::State {
@@ -166,8 +162,8 @@
   double strain = 0;          // errors that all share, over the last two rounds
   double objective = 1;       // mean latency objective, s
   double usual_lateness = 0;  // the median backend's, s
-  std::map<std::pair<ProxyId, OperationId>, Demand> demand;
-  std::vector<ProxyId> joined;  // wait for their binding
+  std::map<std::pair<ProxyId, OperationId>, double> demand;  // invocations a second, as last told
+  std::vector<ProxyId> joined;                               // wait for their binding
 
   std::map<BackendId, double> wanted_lines;
   std::vector<Level> wanted_levels;
@@ -231,9 +227,10 @@
 
 void Policy::State::note(const DemandReport& e) {
   if (e.over <= Span{} || e.operation.value >= s.operations.size()) return;
-  auto& rates = demand[{e.proxy, e.operation}].rates;
-  rates.push_back(e.arrived / e.over.seconds());
-  if (rates.size() > 2) rates.pop_front();
+  demand[{e.proxy, e.operation}] = e.arrived / e.over.seconds();
+}].rates;
+rates.push_back(e.arrived / e.over.seconds());
+if (rates.size() > 1) rates.pop_front();
 }
 
 // Turns the lines of one report round into a sample for every backend: one without a line was not
@@ -485,11 +482,7 @@
   // The settings tell no cost; the latency objective is their only hint of it.
   const auto cost = [&](std::size_t k) { return s.operations[k].latency_objective.seconds(); };
   std::vector<std::vector<double>> arriving(n);
-  for (const auto& [key, d] : demand) {
-    double mean = 0;
-    for (const double rate : d.rates) mean += rate / static_cast<double>(d.rates.size());
-    arriving[key.second.value].push_back(mean);
-  }
+  for (const auto& [key, rate] : demand) arriving[key.second.value].push_back(rate);
   std::vector<double> wishes(n, 0);
   double admitted = 0, admitted_cost = 0;  // a second, under the levels that the reports have seen
   for (std::size_t k = 0; k < n; ++k) {
@@ -500,23 +493,24 @@
     }
   }
   if (admitted <= 0) return;
-  // What the fleet can carry is what it carried for its use of processors, by the listed weight in use.
-  // A jam hides it, and a repeat swells what comes: so the upper quarter of the last rounds counts.
+  // What the fleet can carry is what it carried for its use of processors, by the listed weight in use:
+  // the median of the last rounds without a jam, since a jam hides it.
   double in_use = 0;
   for (const auto& [id, b] : roster) in_use += lines.contains(id) ? listed_weight(b) * warmth(b) : 0;
   const double busy = pressure();
-  if (busy < 0.3 || in_use <= 0) return;  // too idle to tell
-  carried.push_back(succeeded * admitted_cost / admitted / busy / in_use);
+  const bool jammed = strain > 0.1 || usual_lateness > 0.6 * objective;
+  if (busy > 0.3 && in_use > 0 && (!jammed || carried.empty()))  // below, too idle to tell
+    carried.push_back(succeeded * admitted_cost / admitted / busy / in_use);
+  if (carried.empty()) return;
   if (carried.size() > kRoundsKept) carried.pop_front();
   std::vector<double> sorted(carried.begin(), carried.end());
   std::sort(sorted.begin(), sorted.end());
-  const double able = sorted[sorted.size() * 3 / 4 < sorted.size() ? sorted.size() * 3 / 4 : 0] * in_use;
-  // A slow trim for what that misses: dearer work, queues to clear, levels that let in less than they say.
-  const bool jammed = strain > 0.1 || usual_lateness > 0.6 * objective;
+  const double able = sorted[sorted.size() / 2] * in_use;
+  // A trim for what that misses: dearer work, queues to clear, levels that let in less than they say.
   if (jammed)
-    trim = std::max(0.6, trim * 0.85);
+    trim = std::max(0.5, trim * 0.75);
   else if (trim < 1 || (limiting && busy < 0.75))
-    trim = std::min(1.3, trim * 1.1);
+    trim = std::min(1.3, trim * 1.15);
   double allowed = 0.85 * trim * able;  // beyond 0.85 of the processors the slower backends queue
   limiting = false;
   std::vector<std::size_t> order(n);
