--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -474,6 +474,8 @@
   const bool by_rate = s.level_kind == LevelKind::rate;
   wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
 
+  // In a general failure every repeat is more of what causes it.
+  for (auto& level : wanted_levels) level.tries = strain > 0.3 ? FurtherTries::none : s.usual_tries;
   if (s.level_kind == LevelKind::off) return;
 
   // The settings tell no cost; the latency objective is their only hint of it.
