Step a backend down, not out, when late answers came before its errors

A hang shows prompt answers before the silence, a jam late ones. Could harm when a backend hangs just after being slow: it then falls by quarters until the late answers are out of sight.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -322,13 +322,14 @@
   const double late = lateness(b, since);
   const bool slow = late > std::max(0.5 * objective, 1.3 * usual_lateness);
   // Errors: a third of four answers or more, and three times the peers' share. In an overload all
-  // fail alike, and none is condemned. Errors beside late answers are an overload of this one.
+  // fail alike, and none is condemned. Errors after late answers are a jam, which less work clears.
   if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) {
     double answered = 0;
-    for (auto it = b.samples.rbegin(); it != b.samples.rend() && it->heard > since; ++it)
-      if (it->latency > 0) answered = std::max(answered, it->latency);
-    const bool some = own.share() < 0.9 && answered > std::max(0.6 * objective, 1.5 * usual_lateness);
-    return some ? Verdict::slow : Verdict::failed;
+    std::size_t k = 0;
+    for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 4; ++it, ++k)
+      if (it->tries > it->errored) answered = std::max(answered, it->latency);
+    const bool jam = answered > std::max(0.6 * objective, 1.5 * usual_lateness);
+    return jam ? Verdict::slow : Verdict::failed;
   }
   if (slow) return Verdict::slow;
   return own.tries >= 2 && own.share() < 0.2 && late < 1.1 * usual_lateness ? Verdict::well
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -81,6 +81,14 @@
   EXPECT_LT(b.weight(5), 0.8);
 }
 
+TEST(Ladder, ABackendThatJamsAfterLateAnswersIsSteppedDownNotOut) {
+  Bench b{settings()};
+  b.rounds(2, [](unsigned k, BackendReport& r) { r.mean_latency = Span::seconds(k == 5 ? 0.9 : 0.2); });
+  b.rounds(2, [](unsigned k, BackendReport& r) { r.errored = k == 5 ? 10 : 0; });
+  EXPECT_GT(b.weight(5), 0);
+  EXPECT_LT(b.weight(5), 1);
+}
+
 TEST(Ladder, AZoneThatFailsAsAWholeDrainsByThirdsAndClimbsByTenths) {
   Bench b{settings()};
   const auto failing = [](unsigned k, BackendReport& r) { r.errored = k % 3 == 1 ? 1 : 0; };
