--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -62,9 +62,10 @@
   double share = 1;
   bool falling = false;  // a drain runs to its end
   std::optional<Instant> bad_since;
-  Instant next;     // earliest next step
-  Instant changed;  // when the share last moved
-  int relapses = 0;
+  Instant next;        // earliest next step
+  Instant changed;     // when the share last moved
+  int relapses = 0;    // trials that failed
+  bool eased = false;  // it was slow: it climbs by small steps
 
   [[nodiscard]] bool whole() const { return share >= 1 && !falling; }
   void advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial);
@@ -87,12 +88,13 @@
     if (may_try) move(trial, now, steps.up_every);
   } else if (verdict == Verdict::slow) {
     // Slow is not broken: a quarter less, never out, and back by small steps.
-    relapses = std::max(relapses, 1);
+    eased = true;
     move(std::max(0.1, share * 0.75), now, steps.up_every * 2);
   } else if (share < 1) {
-    if (verdict == Verdict::well) move(share + (relapses > 0 ? steps.up / 4 : steps.up), now, steps.up_every);
+    if (verdict == Verdict::well)
+      move(share + (eased || relapses > 0 ? steps.up / 4 : steps.up), now, steps.up_every);
   } else if (now - changed > steps.hold * 4) {
-    relapses = 0;
+    relapses = 0, eased = false;
   }
 }
 
@@ -323,20 +325,21 @@
   Tally peers;
   for (const auto& [id, p] : roster)
     if (&p != &b && p.ladder.share > 0) peers += tally(p, 2, now - s.report_every * 3);
-  // Missing: silence where 7 tries were due (by chance once in a thousand rounds). Where all lines
-  // are late nothing is due, since what is due is a part of what was heard.
-  if (own.expected >= 7 && own.tries < 0.1 * own.expected) return Verdict::failed;
   const double late = lateness(b, since);
   const bool slow = late > std::max(0.5 * objective, 1.3 * usual_lateness);
+  // Missing: silence where 7 tries were due (by chance once in a thousand rounds). Where all lines
+  // are late nothing is due, since what is due is a part of what was heard.
+  const bool missing = own.expected >= 7 && own.tries < 0.1 * own.expected;
   // Errors: a third of four answers or more, and three times the peers' share. In an overload all
-  // fail alike, and none is condemned. Errors after late answers are a jam, which less work clears.
-  if (own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share())) {
+  // fail alike, and none is condemned.
+  const bool errors = own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, 3 * peers.share());
+  if (missing || errors) {
+    // Late answers shortly before mean a jam, which less work clears; prompt ones mean a break.
     double answered = 0;
     std::size_t k = 0;
     for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 4; ++it, ++k)
       if (it->tries > it->errored) answered = std::max(answered, it->latency);
-    const bool jam = answered > std::max(0.6 * objective, 1.5 * usual_lateness);
-    return jam ? Verdict::slow : Verdict::failed;
+    return answered > std::max(0.6 * objective, 1.5 * usual_lateness) ? Verdict::slow : Verdict::failed;
   }
   if (slow) return Verdict::slow;
   return own.tries >= 2 && own.share() < 0.2 && late < 1.1 * usual_lateness ? Verdict::well
