--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -170,8 +170,10 @@
 
   std::map<BackendId, double> wanted_lines;
   std::vector<Level> wanted_levels;
-  std::deque<double> carried;  // the last rounds: cost a second for full use, by listed weight
-  double succeeded = 0;        // a second, in the last round
+  std::deque<double> carried;        // the last rounds: cost a second for full use, by listed weight
+  double succeeded = 0;              // a second, in the last round
+  std::deque<double> succeeded_log;  // succeeded tries of the last rounds
+  double press = 1;                  // tries now, by the most that succeeded in one of those rounds
   double trim = 1;
   bool limiting = false;                     // some level is below full
   std::deque<std::vector<Level>> level_log;  // of the last two rounds: reports answer to the first
@@ -274,6 +276,9 @@
   demand_lines = 0;
   strain = common_errors();
   succeeded = (all.tries - all.errored) / s.report_every.seconds();
+  succeeded_log.push_back(all.tries - all.errored);
+  if (succeeded_log.size() > kRoundsKept) succeeded_log.pop_front();
+  press = all.tries / std::max(1.0, *std::max_element(succeeded_log.begin(), succeeded_log.end()));
   std::vector<double> all_late;
   for (const auto& [id, b] : roster)
     if (const double late = lateness(b, now - s.report_every * 5); late > 0) all_late.push_back(late);
@@ -285,14 +290,18 @@
 // ---- What it means -------------------------------------------------------------------------------
 
 // The part of full weight that a starting backend may have: by what the settings guarantee of its
-// capacity, squared, since a short burst or a slow machine must not tip it. Proxies leave lines that
-// fail them and press on the rest, whatever its weight: when half of all fails, a newcomer stays out.
+// capacity, squared, since a short burst or a slow machine must not tip it. As a fleet tips over,
+// proxies leave the lines that fail them and press on the rest, whatever its weight: so in a hot fleet
+// a newcomer stays out until even a full line's part of all that is sent can't tip it.
 double Policy::State::warmth(const Backend& b) const {
   if (!b.listed.started || s.cold_for <= Span{}) return 1;
   const double age = (now - *b.listed.started).seconds() / s.cold_for.seconds();
   if (age >= 1) return 1;
   const double sure = std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
-  return strain > 0.5 ? 0 : sure * sure * (1 - strain);
+  const bool unheard = succeeded_log.empty();  // a coordinator that just started can't tell
+  const bool hot = strain > 0.2 || usual_lateness > 0.5 * objective || pressure() > 0.75;
+  if (unheard || (hot && s.tip_multiple * sure < 1.2 * std::max(1.0, press))) return 0;
+  return sure * sure * (1 - strain);
 }
 
 double Policy::State::listed_weight(const Backend& b) const {
@@ -411,7 +420,7 @@
 double Policy::State::pressure() const {
   double sum = 0, n = 0;
   for (const auto& [id, b] : roster) {
-    if (b.samples.empty() || b.ladder.share <= 0) continue;
+    if (b.samples.empty() || !lines.contains(id)) continue;
     double busy = 0, k = 0;
     for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 1; ++it)
       if (it->load.busy) busy += *it->load.busy, ++k;
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -51,6 +51,7 @@
   Span drain_grace;
   double cold_from = 0;
   Span cold_for;
+  double tip_multiple = 0;  // a cold backend falls over at this many times its present capacity
 };
 
 // What a backend says of itself, as far as it says it.
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -173,6 +173,7 @@
   s.drain_grace = rules.span("drain-grace-s");
   s.cold_from = rules.number("cold-from");
   s.cold_for = rules.span("cold-s");
+  s.tip_multiple = rules.number("tip-multiple");
   return s;
 }
 
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -10,7 +10,7 @@
     R"({"discovery":"automatic","family-info":{"backlog":1000,"intake-per-s":100,"level-kind":"share","messages-most":0,"per-message":4,)"
     R"("push-rate":500,"report-every-s":1,"try-aims":1.2,"unserved-max-s":2,"update-window-s":10,"usual-how":1,"zone-bound":[]},)"
     R"("lanes":[{"effect":"read_like","goal-time-s":1,"worth":1}],"limits":{"may-probe":false},)"
-    R"("rules":{"cold-from":0.2,"cold-s":15,"drain-grace-s":2},"zones":["a"],"unheard-of":7})";
+    R"("rules":{"cold-from":0.2,"cold-s":15,"drain-grace-s":2,"tip-multiple":4},"zones":["a"],"unheard-of":7})";
 
 std::string batch(const std::string& items) { return R"({"sim-time-s":5,"items":[)" + items + "]}"; }
 std::string start(int i) {
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -25,6 +25,7 @@
   s.drain_grace = Span::seconds(2);
   s.cold_from = 0.2;
   s.cold_for = Span::seconds(15);
+  s.tip_multiple = 3;
   return s;
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -22,6 +22,7 @@
 
 TEST(Rules, AStartIsCutInTheReplyThatLearnsOfItAndRampsToFull) {
   Bench b{settings()};
+  b.rounds(3);
   b.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, b.now)}}});
   EXPECT_GT(b.weight(3), 0);
   EXPECT_LE(b.weight(3), 0.2);
@@ -29,6 +30,19 @@
   EXPECT_DOUBLE_EQ(b.weight(3), 1);
 }
 
+TEST(Rules, NewcomersWaitForTheFirstRoundAndWhileTheFleetIsHot) {
+  Bench unheard{settings()};
+  unheard.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, unheard.now)}}});
+  EXPECT_EQ(unheard.weight(3), 0);
+  Bench hot{settings()};
+  const auto busy = [](unsigned, BackendReport& r) { r.load.busy = 0.95; };
+  hot.rounds(3, busy);
+  hot.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, hot.now)}}});
+  EXPECT_EQ(hot.weight(3), 0);
+  hot.rounds(14, busy);
+  EXPECT_GT(hot.weight(3), 0);
+}
+
 TEST(Rules, TheLastWarmLinesStay) {
   Bench b{settings()};
   b.rounds(30, [](unsigned, BackendReport& r) { r.errored = r.tries; });
