Silo a zone's proxies while a link of theirs is cut

Guards against any failure that depends on where the proxy stands; could harm where a zone's proxies alone overload what they reach. Settings and events lose what nothing reads; fingerprinted and side-effecting work is capped at after-proof whatever the usual way; where an operation can't leave its zone each zone keeps its last warm lines.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr TableId kTable{0};             // the one shared table
+constexpr TableId kShared{0};            // the one shared table; a cut-off zone's proxies get another
 const Span kTick = Span::seconds(0.25);  // finer than any timer below, far above the host's resolution
 constexpr double kNoLevel = 1e6;         // a rate that no proxy reaches: everything is let in
 constexpr std::size_t kRoundsKept = 8;   // longest look-back below (zones: 200 answers) in rounds
@@ -30,9 +30,9 @@
   Instant heard;
   double tries = 0;
   double errored = 0;
-  double expected = 0;  // tries due to it by weight; 0 while its weight is on the move
-  double latency = 0;   // mean of the succeeded, s
-  LoadReport load;
+  double expected = 0;         // tries due to it by weight; 0 while its weight is on the move
+  double latency = 0;          // mean of the succeeded, s
+  std::optional<double> busy;  // part of its processors in use, as it tells
 };
 
 // Evidence summed over some samples.
@@ -47,9 +47,14 @@
   }
 };
 
+double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values.empty() ? 0 : values[values.size() / 2];
+}
+
 enum class Verdict { unknown, well, slow, failed };
 
-// The steps of a ladder; two scopes use it.
+// The steps of a ladder; three scopes use it.
 struct Steps {
   double down;  // part of the full share taken each step of a drain
   Span down_every;
@@ -58,6 +63,10 @@
   Span up_every;
 };
 
+// A small silo (a backend, a link) holds little, so it falls in one step; it is tried with a hundredth
+// of the traffic, as a zone is, and climbs in thirds.
+Steps small_steps() { return {1.0, Span{}, Span::seconds(4), 1.0 / 3, Span::seconds(2)}; }
+
 struct Ladder {
   double share = 1;
   bool falling = false;  // a drain runs to its end
@@ -105,7 +114,12 @@
   std::optional<Instant> line_moved;  // when its line in the table last changed
   std::optional<Instant> probed;      // the last probe out
   bool probe_well = false;            // the last probe's answer
-  bool probe_answered = false;
+};
+
+// The way from the proxies of one zone to the backends of another.
+struct Link {
+  Ladder ladder;
+  std::deque<std::pair<Instant, Tally>> rounds;
 };
 
 struct Level {
@@ -113,6 +127,11 @@
   double level = 1;
 };
 
+struct Table {
+  std::map<BackendId, double> lines;
+  std::vector<Level> levels;
+};
+
 }  // namespace
 
 struct Policy::State {
@@ -127,7 +146,7 @@
   void note(const Listed& e);
   void note(const TimerFired&) {}
   void note(const ProbeAnswered& e);
-  void note(const ProxyJoined& e) { joined.push_back(e.proxy); }
+  void note(const ProxyJoined& e) { joined[e.proxy] = e.zone, bound.erase(e.proxy); }
   void note(const ProxyLeft& e);
   void note(const BackendReport& e) { round.push_back(e); }
   void note(const DemandReport& e);
@@ -144,6 +163,8 @@
   [[nodiscard]] double common_errors() const;
   void judge_backends();
   void judge_zones();
+  void judge_links();
+  [[nodiscard]] TableId table_of(ZoneId proxies_in) const;
   void probe_suspects();
   void follow_list();
 
@@ -151,7 +172,6 @@
   void want_levels();
   void emit();
   [[nodiscard]] double queued() const;
-  void message(std::size_t proxies, double lines);
 
   Settings s;
   std::mt19937 chance;
@@ -160,31 +180,30 @@
 
   std::map<BackendId, Backend> roster;
   std::map<ZoneId, Ladder> zones;
+  std::map<std::pair<ZoneId, ZoneId>, Link> links;  // from the proxies' zone to the backends'
   std::vector<BackendReport> round;
   std::size_t demand_lines = 0;  // of the round at hand
   double strain = 0;             // errors that all share, over the last two rounds
   double objective = 1;          // mean latency objective, s
   double usual_lateness = 0;     // the median backend's, s
   std::map<std::pair<ProxyId, OperationId>, double> demand;  // invocations a second, as last told
-  std::vector<ProxyId> joined;                               // wait for their binding
 
-  std::map<BackendId, double> wanted_lines;
+  std::map<TableId, Table> wanted;
   std::vector<Level> wanted_levels;
   std::deque<double> carried;        // the last rounds: cost a second for full use, by listed weight
-  double succeeded = 0;              // a second, in the last round
   std::deque<double> succeeded_log;  // succeeded tries of the last rounds
   double press = 1;                  // tries now, by the most that succeeded in one of those rounds
   double trim = 1;
   bool limiting = false;                     // some level is below full
   std::deque<std::vector<Level>> level_log;  // of the last two rounds: reports answer to the first
 
-  std::map<BackendId, double> lines;
-  std::vector<Level> levels;
-  std::set<ProxyId> bound;
+  std::map<TableId, Table> present;
+  Table& shared = present[kShared];
+  std::map<ProxyId, ZoneId> joined;
+  std::map<ProxyId, TableId> bound;
 
-  bool asked = false;
   bool following = false;
-  Instant ask_at;
+  std::optional<Instant> ask_at;  // when the list is to be asked for again
   std::optional<Instant> wake_at;
   double queue = 0;  // lines in the channel, reckoned at queue_at
   Instant queue_at;
@@ -220,13 +239,12 @@
 void Policy::State::note(const ProbeAnswered& e) {
   const auto it = roster.find(e.backend);
   if (it == roster.end()) return;
-  it->second.probe_answered = true;
   it->second.probe_well = e.succeeded || e.at_capacity;
 }
 
 void Policy::State::note(const ProxyLeft& e) {
   bound.erase(e.proxy);
-  std::erase(joined, e.proxy);
+  joined.erase(e.proxy);
   std::erase_if(demand, [&](const auto& row) { return row.first.first == e.proxy; });
 }
 
@@ -240,9 +258,15 @@
 // heard at all, which is evidence too. Rates go by the reports' own spans.
 void Policy::State::close_round() {
   if (round.empty()) return;
+  judge_links();
   std::map<BackendId, Sample> heard;
+  std::map<ZoneId, double> from;  // tries
   Tally all;
   for (const auto& r : round) {
+    // What is lost on a link that is cut says nothing of the backend behind it.
+    const auto row = roster.find(r.backend);
+    const auto link = row == roster.end() ? links.end() : links.find({r.proxies_in, row->second.listed.zone});
+    if (link != links.end() && !link->second.ladder.whole()) continue;
     auto& sample = heard[r.backend];
     const double ok = r.tries - r.errored;
     const double ok_before = sample.tries - sample.errored;
@@ -250,13 +274,10 @@
       sample.latency = (sample.latency * ok_before + r.mean_latency.seconds() * ok) / (ok_before + ok);
     sample.tries += r.tries;
     sample.errored += r.errored;
-    if (r.load.busy) sample.load.busy = r.load.busy;
-    if (r.load.waiting) sample.load.waiting = r.load.waiting;
-    if (r.load.service) sample.load.service = r.load.service;
+    if (r.busy) sample.busy = r.busy;
     all.tries += r.tries, all.errored += r.errored;
+    from[r.proxies_in] += r.tries;
   }
-  double total = 0;
-  for (const auto& [id, weight] : lines) total += weight;
   const Span settled =
       s.report_every * 2 + Span::seconds(1.5);  // a round's own span, its delay and an order's way
   // Where the report lines fill what the host hands on, some wait their turn: no line is no silence.
@@ -265,25 +286,27 @@
   for (auto& [id, b] : roster) {
     Sample sample = heard[id];
     sample.heard = now;
-    const auto line = lines.find(id);
     const bool steady = !b.line_moved || now - *b.line_moved > settled;
-    if (line != lines.end() && total > 0 && steady && !cut_short)
-      sample.expected = all.tries * line->second / total;
+    for (const auto& [zone, tries] : from) {
+      const auto& lines = present[table_of(zone)].lines;
+      double total = 0;
+      for (const auto& [other, weight] : lines) total += weight;
+      const auto line = lines.find(id);
+      if (line != lines.end() && steady && !cut_short) sample.expected += tries * line->second / total;
+    }
     b.samples.push_back(sample);
     if (b.samples.size() > kRoundsKept) b.samples.pop_front();
   }
   round.clear();
   demand_lines = 0;
   strain = common_errors();
-  succeeded = (all.tries - all.errored) / s.report_every.seconds();
   succeeded_log.push_back(all.tries - all.errored);
   if (succeeded_log.size() > kRoundsKept) succeeded_log.pop_front();
   press = all.tries / std::max(1.0, *std::max_element(succeeded_log.begin(), succeeded_log.end()));
   std::vector<double> all_late;
   for (const auto& [id, b] : roster)
     if (const double late = lateness(b, now - s.report_every * 5); late > 0) all_late.push_back(late);
-  std::sort(all_late.begin(), all_late.end());
-  usual_lateness = all_late.empty() ? 0 : all_late[all_late.size() / 2];
+  usual_lateness = median(std::move(all_late));
   want_levels();
 }
 
@@ -370,9 +393,7 @@
 }
 
 void Policy::State::judge_backends() {
-  // The smallest silo holds little, so it falls in one step; it is tried with a hundredth of the
-  // traffic, as a zone is, and climbs in thirds.
-  const Steps steps{1.0, Span{}, Span::seconds(4), 1.0 / 3, Span::seconds(2)};
+  const Steps steps = small_steps();
   double total = 0;
   for (const auto& [id, b] : roster) total += ready(b) ? listed_weight(b) : 0;
   for (auto& [id, b] : roster) {
@@ -410,22 +431,63 @@
     if (!bad) ladder.bad_since.reset();
     if (bad && !ladder.bad_since) ladder.bad_since = now;
     const bool sustained = bad && now - *ladder.bad_since >= Span::seconds(3);
-    const Verdict verdict = sustained             ? Verdict::failed
-                            : own.share() <= 0.05 ? Verdict::well
-                                                  : Verdict::unknown;
+    Verdict verdict = own.share() <= 0.05 ? Verdict::well : Verdict::unknown;
+    if (sustained) verdict = Verdict::failed;
     const double trial = weight[zone] > 0 ? std::min(1.0, 0.01 * total / weight[zone]) : 1;
     ladder.advance(now, steps, verdict, true, trial);
   }
 }
 
+// A link is cut when the tries on it fail and other zones' proxies reach the same backends. The post's
+// own story: no backend is to blame, so the cut-off proxies are kept to what they reach (the post's silo).
+void Policy::State::judge_links() {
+  std::map<std::pair<ZoneId, ZoneId>, Tally> heard;
+  for (const auto& r : round) {
+    const auto row = roster.find(r.backend);
+    if (row == roster.end() || row->second.ladder.share <= 0) continue;
+    heard[{r.proxies_in, row->second.listed.zone}] +=
+        Tally{static_cast<double>(r.tries), static_cast<double>(r.errored), 0};
+  }
+  for (auto& [key, tally] : heard) links[key].rounds.emplace_back(now, tally);
+  const Span lag = s.report_every + Span::seconds(1.0);
+  std::map<std::pair<ZoneId, ZoneId>, Tally> recent;
+  for (auto& [key, link] : links) {
+    while (!link.rounds.empty() && now - link.rounds.front().first > s.report_every * 2.5)
+      link.rounds.pop_front();
+    for (const auto& [at, tally] : link.rounds)
+      if (link.ladder.whole() || at > link.ladder.changed + lag) recent[key] += tally;
+  }
+  for (auto& [key, link] : links) {
+    Tally elsewhere;
+    for (const auto& [other, tally] : recent)
+      if (other.second == key.second && other.first != key.first && links[other].ladder.whole())
+        elsewhere += tally;
+    const Tally own = recent[key];
+    // Two fifths of twenty, while the others lose a fifth of that at most: chance does not do it.
+    const bool failing = own.share() > 0.4 && own.share() > 5 * elsewhere.share() &&
+                         (link.ladder.whole() ? own.tries >= 20 && elsewhere.tries >= 20 : own.errored >= 2);
+    const bool well = own.tries >= 2 && own.share() < 0.2;
+    link.ladder.advance(now, small_steps(),
+                        failing ? Verdict::failed
+                        : well  ? Verdict::well
+                                : Verdict::unknown,
+                        true, 0.1);
+  }
+}
+
+TableId Policy::State::table_of(ZoneId proxies_in) const {
+  const TableId silo{static_cast<std::uint16_t>(1 + proxies_in.value)};
+  return wanted.contains(silo) ? silo : kShared;
+}
+
 // Mean use of the backends' processors as they last told it; 0 where they do not tell.
 double Policy::State::pressure() const {
   double sum = 0, n = 0;
   for (const auto& [id, b] : roster) {
-    if (b.samples.empty() || !lines.contains(id)) continue;
+    if (b.samples.empty() || !shared.lines.contains(id)) continue;
     double busy = 0, k = 0;
     for (auto it = b.samples.rbegin(); it != b.samples.rend() && k < 1; ++it)
-      if (it->load.busy) busy += *it->load.busy, ++k;
+      if (it->busy) busy += *it->busy, ++k;
     if (k > 0) sum += busy / k, ++n;
   }
   return n > 0 ? sum / n : 0;
@@ -448,14 +510,13 @@
   for (auto& [id, b] : roster) {
     if (!ready(b) || b.ladder.share > 0) continue;
     if (b.probed && now - *b.probed < Span::seconds(2)) continue;
-    b.probed = now, b.probe_answered = false;
+    b.probed = now;
     out.emplace_back(ProbeBackend{id});
   }
 }
 
 void Policy::State::follow_list() {
-  if (!s.ask_for_list || following || (asked && now < ask_at)) return;
-  asked = true;
+  if (!s.ask_for_list || following || (ask_at && now < *ask_at)) return;
   ask_at = now + s.ask_within * 0.5;  // unanswered for half the time allowed: ask again
   out.emplace_back(FollowList{});
 }
@@ -463,28 +524,45 @@
 // ---- What is wanted ------------------------------------------------------------------------------
 
 void Policy::State::want() {
-  wanted_lines.clear();
-  double warm = 0;
+  wanted.clear();
+  auto& lines = wanted[kShared].lines;
+  const bool by_zone =
+      std::any_of(s.operations.begin(), s.operations.end(), [](auto& op) { return op.own_zone_only; });
+  std::map<ZoneId, double> warm;  // by zone only where an operation can't leave its own
+  const auto silo_of = [&](const Backend& b) { return by_zone ? b.listed.zone : ZoneId{}; };
   for (const auto& [id, b] : roster) {
     if (!ready(b)) continue;
     const auto zone = zones.find(b.listed.zone);
     const double share = b.ladder.share * (zone == zones.end() ? 1 : zone->second.share);
     const double weight = listed_weight(b) * share * warmth(b);
     if (weight <= 0) continue;
-    wanted_lines[id] = weight;
-    if (warmth(b) >= 1) warm += weight;
+    lines[id] = weight;
+    if (warmth(b) >= 1) warm[silo_of(b)] += weight;
   }
   // Never take away the last warm lines: with none left the ladders no longer bind.
-  if (warm <= 0)
-    for (const auto& [id, b] : roster)
-      if (ready(b)) wanted_lines[id] = listed_weight(b) * std::max(0.01, warmth(b));
+  for (const auto& [id, b] : roster)
+    if (ready(b) && warm[silo_of(b)] <= 0) lines[id] = listed_weight(b) * std::max(0.01, warmth(b));
   // A rising line waits until it is worth a message; a falling one does not.
-  for (auto& [id, weight] : wanted_lines) {
-    const auto present = lines.find(id);
-    const bool small = present != lines.end() && weight > present->second && weight < 1.15 * present->second;
-    if (small && warmth(roster[id]) < 1) weight = present->second;
+  for (auto& [id, weight] : lines) {
+    const auto line = shared.lines.find(id);
+    const bool small = line != shared.lines.end() && weight > line->second && weight < 1.15 * line->second;
+    if (small && warmth(roster[id]) < 1) weight = line->second;
   }
   if (wanted_levels.empty()) want_levels();
+  // A zone's proxies leave the shared table while a link of theirs is not whole and the rest has warm lines.
+  for (const auto& [key, link] : links) {
+    if (link.ladder.whole()) continue;
+    Table silo{lines, {}};
+    double left = 0;
+    for (auto& [id, weight] : silo.lines) {
+      const auto way = links.find({key.first, roster[id].listed.zone});
+      if (way != links.end()) weight *= way->second.ladder.share;
+      if (warmth(roster[id]) >= 1) left += weight;
+    }
+    std::erase_if(silo.lines, [](const auto& line) { return line.second <= 0; });
+    if (left > 0) wanted[TableId{static_cast<std::uint16_t>(1 + key.first.value)}] = std::move(silo);
+  }
+  for (auto& [id, table] : wanted) table.levels = wanted_levels;
 }
 
 // Levels. Further tries stay as the proxies have them, after proof only: a try that may be followed is
@@ -496,8 +574,11 @@
   const bool by_rate = s.level_kind == LevelKind::rate;
   wanted_levels.resize(n, Level{s.usual_tries, by_rate ? kNoLevel : 1});
 
-  // In a general failure every repeat is more of what causes it.
-  for (auto& level : wanted_levels) level.tries = strain > 0.3 ? FurtherTries::none : s.usual_tries;
+  for (std::size_t k = 0; k < n; ++k) {
+    auto& tries = wanted_levels[k].tries;
+    tries = strain > 0.3 ? FurtherTries::none : s.usual_tries;  // in a general failure repeats feed it
+    if (s.operations[k].effect != Effect::idempotent) tries = std::min(tries, FurtherTries::after_proof);
+  }
   if (s.level_kind == LevelKind::off) return;
 
   // The settings tell no cost; the latency objective is their only hint of it.
@@ -517,16 +598,15 @@
   // What the fleet can carry is what it carried for its use of processors, by the listed weight in use:
   // the median of the last rounds without a jam, since a jam hides it.
   double in_use = 0;
-  for (const auto& [id, b] : roster) in_use += lines.contains(id) ? listed_weight(b) * warmth(b) : 0;
+  for (const auto& [id, b] : roster) in_use += shared.lines.contains(id) ? listed_weight(b) * warmth(b) : 0;
   const double busy = pressure();
   const bool jammed = strain > 0.1 || usual_lateness > 0.6 * objective;
   if (busy > 0.3 && in_use > 0 && (!jammed || carried.empty()))  // below, too idle to tell
-    carried.push_back(succeeded * admitted_cost / admitted / busy / in_use);
+    carried.push_back(succeeded_log.back() / s.report_every.seconds() * admitted_cost / admitted / busy /
+                      in_use);
   if (carried.empty()) return;
   if (carried.size() > kRoundsKept) carried.pop_front();
-  std::vector<double> sorted(carried.begin(), carried.end());
-  std::sort(sorted.begin(), sorted.end());
-  const double able = sorted[sorted.size() / 2] * in_use;
+  const double able = median({carried.begin(), carried.end()}) * in_use;
   // A trim for what that misses: dearer work, queues to clear, levels that let in less than they say.
   if (jammed)
     trim = std::max(0.5, trim * 0.75);
@@ -572,60 +652,61 @@
   return std::max(0.0, queue - (now - queue_at).seconds() * s.push_rate * 0.5);
 }
 
-void Policy::State::message(std::size_t proxies, double cost) {
-  queue = queued() + static_cast<double>(proxies) * (s.per_message + cost);
-  queue_at = now;
-}
-
 void Policy::State::emit() {
+  std::map<TableId, double> users;
+  for (const auto& [proxy, table] : bound) ++users[table];
   std::vector<Order> changes;
+  double cost = 0;
   bool must = false;
-  for (const auto& [id, weight] : lines) {
-    if (wanted_lines.contains(id)) continue;
-    changes.emplace_back(SetLine{kTable, id, 0});
-    const auto b = roster.find(id);
-    must = must || b == roster.end() || !ready(b->second) || warmth(b->second) < 1;
-  }
-  for (const auto& [id, weight] : wanted_lines) {
-    const auto present = lines.find(id);
-    if (present != lines.end() && std::abs(present->second - weight) < 1e-9) continue;
-    changes.emplace_back(SetLine{kTable, id, weight});
-    must = must || (warmth(roster[id]) < 1 && present != lines.end() && weight < present->second);
-  }
-  std::vector<Order> level_changes;
-  for (std::size_t k = 0; k < wanted_levels.size(); ++k) {
-    const Level& w = wanted_levels[k];
-    if (k < levels.size() && levels[k].tries == w.tries &&
-        std::abs(levels[k].level - w.level) < 0.03 * w.level)
-      continue;
-    level_changes.emplace_back(SetLevel{kTable, OperationId{static_cast<std::uint8_t>(k)}, w.tries, w.level});
-  }
-  const double cost = static_cast<double>(changes.size() + level_changes.size());
-  if (cost > 0) {
-    while (!messages.empty() && now - messages.front() > s.messages_window) messages.pop_front();
-    const double limit = std::min(0.5 * s.backlog, 0.2 * s.drain_grace.seconds() * s.push_rate);
-    const bool room = queued() + static_cast<double>(bound.size()) * (s.per_message + cost) <= limit;
-    const bool paced = messages.empty() || now - messages.back() >= Span::seconds(0.5);
-    const bool under = s.messages_most == 0 || static_cast<double>(messages.size()) < 0.6 * s.messages_most;
-    if (must || bound.empty() || (room && paced && under)) {
-      for (auto* list : {&changes, &level_changes}) out.insert(out.end(), list->begin(), list->end());
-      for (auto& [id, b] : roster) {
-        const auto before = lines.find(id), after = wanted_lines.find(id);
-        if ((before == lines.end() ? 0 : before->second) != (after == wanted_lines.end() ? 0 : after->second))
-          b.line_moved = now;
-      }
-      lines = wanted_lines;
-      levels = wanted_levels;
-      if (!bound.empty()) messages.push_back(now), message(bound.size(), cost);
+  for (const auto& [table, want] : wanted) {
+    const Table& have = present[table];
+    const std::size_t before = changes.size();
+    for (const auto& [id, weight] : have.lines) {
+      if (want.lines.contains(id)) continue;
+      changes.emplace_back(SetLine{table, id, 0});
+      const auto b = roster.find(id);
+      must = must || b == roster.end() || !ready(b->second) || warmth(b->second) < 1;
+    }
+    for (const auto& [id, weight] : want.lines) {
+      const auto line = have.lines.find(id);
+      if (line != have.lines.end() && std::abs(line->second - weight) < 1e-9) continue;
+      changes.emplace_back(SetLine{table, id, weight});
+      must = must || (warmth(roster[id]) < 1 && line != have.lines.end() && weight < line->second);
     }
+    for (std::size_t k = 0; k < want.levels.size(); ++k) {
+      const Level& w = want.levels[k];
+      if (k < have.levels.size() && have.levels[k].tries == w.tries &&
+          std::abs(have.levels[k].level - w.level) < 0.03 * w.level)
+        continue;
+      changes.emplace_back(SetLevel{table, OperationId{static_cast<std::uint8_t>(k)}, w.tries, w.level});
+    }
+    const auto lines_out = static_cast<double>(changes.size() - before);
+    if (lines_out > 0) cost += users[table] * (s.per_message + lines_out);
+  }
+  while (!messages.empty() && now - messages.front() > s.messages_window) messages.pop_front();
+  const bool room = queued() + cost <= std::min(0.5 * s.backlog, 0.2 * s.drain_grace.seconds() * s.push_rate);
+  const bool paced = messages.empty() || now - messages.back() >= Span::seconds(0.5);
+  const bool under = s.messages_most == 0 || static_cast<double>(messages.size()) < 0.6 * s.messages_most;
+  if (!changes.empty() && (must || cost <= 0 || (room && paced && under))) {
+    out.insert(out.end(), changes.begin(), changes.end());
+    for (const auto& change : changes)
+      if (const auto* line = std::get_if<SetLine>(&change); line != nullptr && line->table == kShared)
+        if (const auto b = roster.find(line->backend); b != roster.end()) b->second.line_moved = now;
+    for (const auto& [table, want] : wanted) present[table] = want;
+    if (cost > 0) messages.push_back(now);
+    queue = queued() + cost, queue_at = now;
   }
-  // Bindings: all at once while the channel has room, in the order of joining.
-  const double whole_table = 1 + static_cast<double>(lines.size() + levels.size());
-  while (!joined.empty() && !lines.empty() && queued() + s.per_message + whole_table <= 0.8 * s.backlog) {
-    out.emplace_back(BindProxy{joined.front(), kTable});
-    bound.insert(joined.front());
-    joined.erase(joined.begin());
-    message(1, whole_table);
+  // Bindings: all at once while the channel has room.
+  for (const auto& [proxy, zone] : joined) {
+    const TableId table = table_of(zone);
+    const Table& have = present[table];
+    const double whole = s.per_message + 1 + static_cast<double>(have.lines.size() + have.levels.size());
+    const auto now_on = bound.find(proxy);
+    if (have.lines.empty() || (now_on != bound.end() && now_on->second == table)) continue;
+    if (queued() + whole > 0.8 * s.backlog) break;
+    out.emplace_back(BindProxy{proxy, table});
+    bound[proxy] = table;
+    queue = queued() + whole, queue_at = now;
   }
 }
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -15,31 +15,24 @@
 namespace gorsemount {
 
 enum class Effect { idempotent, fingerprinted, side_effecting };
-enum class RepeatGroup { everywhere, zone, pod };  // the backends that drop a repeat between them
 enum class LevelKind { share, rate, off };
 enum class FurtherTries : std::uint8_t { none = 0, after_proof = 1, one = 2, two = 3 };
 
 struct Operation {
   Effect effect = Effect::side_effecting;
-  RepeatGroup repeat_group = RepeatGroup::everywhere;
-  Span repeat_window;
   Span latency_objective;
   double billed_value = 0;
-  bool own_zone_only = false;
+  bool own_zone_only = false;  // it goes to backends in its proxy's zone only
 };
 
 struct Settings {
   std::vector<Operation> operations;
-  std::size_t zones = 0;
   LevelKind level_kind = LevelKind::off;
   FurtherTries usual_tries = FurtherTries::after_proof;
-  double try_objectives = 0;  // a try that may be followed waits this many latency objectives
   bool ask_for_list = false;
   bool may_probe = false;
-  bool removal_binds = true;
   Span report_every;
   double intake = 0;  // report lines a second handed on at most; the rest waits
-  Span unserved_limit;
   // The channel to the proxies, in lines.
   double backlog = 0;
   double push_rate = 0;
@@ -54,13 +47,6 @@
   double tip_multiple = 0;  // a cold backend falls over at this many times its present capacity
 };
 
-// What a backend says of itself, as far as it says it.
-struct LoadReport {
-  std::optional<double> busy;     // part of its processors in use
-  std::optional<double> waiting;  // invocations that wait
-  std::optional<Span> service;    // recent service time, without waiting
-};
-
 enum class Availability { ready, draining, gone };
 enum class ListScope { changes, whole, remembered, failed };
 
@@ -85,7 +71,7 @@
 };
 struct ProxyJoined {
   ProxyId proxy;
-  bool fresh = false;  // it holds only its standing tables
+  ZoneId zone;
 };
 struct ProxyLeft {
   ProxyId proxy;
@@ -97,13 +83,12 @@
   int errored = 0;
   Span mean_latency;  // of the succeeded ones; zero if none
   Span over;
-  LoadReport load;
+  std::optional<double> busy;  // part of the backend's processors in use, as it last told
 };
 struct DemandReport {
   ProxyId proxy;
   OperationId operation;
   int arrived = 0;
-  int unanswered = 0;
   Span over;
 };
 using Event =
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -25,16 +25,6 @@
 
 int read_count(const Fields& f, const char* key) { return static_cast<int>(f.whole(key, kCountMost)); }
 
-LoadReport read_load(const Fields& f) {
-  LoadReport load;
-  if (const auto values = f.maybe_object("load")) {
-    load.busy = values->maybe_number("cpu");
-    load.waiting = values->maybe_number("waiting");
-    if (const auto ms = values->maybe_number("avg_ms")) load.service = Span::seconds(*ms / 1e3);
-  }
-  return load;
-}
-
 Operation read_operation(const Fields& f) {
   Operation op;
   const auto effect = f.text("effect");
@@ -42,17 +32,6 @@
     op.effect = Effect::idempotent;
   } else if (effect == "idempotency_key") {
     op.effect = Effect::fingerprinted;
-    const auto group = f.text("group");
-    if (group == "all") {
-      op.repeat_group = RepeatGroup::everywhere;
-    } else if (group == "zone") {
-      op.repeat_group = RepeatGroup::zone;
-    } else if (group == "cell") {
-      op.repeat_group = RepeatGroup::pod;
-    } else {
-      f.fail("group", "is not known: " + group);
-    }
-    op.repeat_window = f.span("window-s");
   } else if (effect == "non_idempotent") {
     op.effect = Effect::side_effecting;
   } else {
@@ -116,8 +95,6 @@
   return value.get<bool>();
 }
 
-bool Fields::flag_or_false(const char* key) const { return find(key) != nullptr && flag(key); }
-
 std::string Fields::text(const char* key) const {
   const Json& value = need(key);
   if (!value.is_string()) fail(key, "is not a text");
@@ -146,7 +123,6 @@
     op.own_zone_only = k < own_zone.size() && own_zone[k].is_boolean() && own_zone[k].get<bool>();
     s.operations.push_back(op);
   }
-  s.zones = config.array("zones").size();
   const auto kind = family.text("level-kind");
   if (kind == "share") {
     s.level_kind = LevelKind::share;
@@ -156,19 +132,16 @@
     family.fail("level-kind", "is not known: " + kind);
   }
   s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
-  s.try_objectives = family.number("try-aims");
   s.ask_for_list = config.text("discovery") == "subscribe";
   s.may_probe = config.object("limits").flag("may-probe");
   s.report_every = family.span("report-every-s");
   s.intake = family.number("intake-per-s");
-  s.unserved_limit = family.span("unserved-max-s");
   s.backlog = family.number("backlog");
   s.push_rate = family.number("push-rate");
   s.per_message = family.number("per-message");
   s.messages_most = static_cast<int>(family.whole("messages-most", kCountMost));
   s.messages_window = family.span("update-window-s");
   const Fields rules = config.object("rules");
-  s.removal_binds = !rules.flag_or_false("removal-not-binding");
   if (s.ask_for_list) s.ask_within = rules.span("ask-within-s");
   s.drain_grace = rules.span("drain-grace-s");
   s.cold_from = rules.number("cold-from");
@@ -217,7 +190,7 @@
     const auto code = f.text("code");
     return ProbeAnswered{read_backend(f), code == "served", code == "turned_away"};
   }
-  if (kind == "checked-in") return ProxyJoined{read_proxy(f), f.flag("on")};
+  if (kind == "checked-in") return ProxyJoined{read_proxy(f), read_zone(f)};
   if (kind == "disconnected") return ProxyLeft{read_proxy(f)};
   if (kind == "digest") {
     BackendReport r;
@@ -227,7 +200,7 @@
     r.errored = read_count(f, "lost");
     r.mean_latency = f.span("cost-time-s");
     r.over = f.span("elapsed-s");
-    r.load = read_load(f);
+    if (const auto load = f.maybe_object("load")) r.busy = load->maybe_number("cpu");
     return r;
   }
   if (kind == "ingress") {
@@ -235,7 +208,6 @@
     r.proxy = read_proxy(f);
     r.operation = OperationId{static_cast<std::uint8_t>(f.whole("service", 255))};
     r.arrived = read_count(f, "many");
-    r.unanswered = read_count(f, "lost");
     r.over = f.span("elapsed-s");
     return r;
   }
--- a/src/simhost/wire.hpp
+++ b/src/simhost/wire.hpp
@@ -28,7 +28,6 @@
   [[nodiscard]] std::optional<double> maybe_number(const char* key) const;
   [[nodiscard]] std::uint64_t whole(const char* key, std::uint64_t most) const;
   [[nodiscard]] bool flag(const char* key) const;
-  [[nodiscard]] bool flag_or_false(const char* key) const;
   [[nodiscard]] std::string text(const char* key) const;
   [[nodiscard]] const Json& array(const char* key) const;
   [[nodiscard]] Fields object(const char* key) const;
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 
 #include <map>
-#include <set>
 
 #include "policy/policy.hpp"
 
@@ -12,13 +11,11 @@
 
 inline Settings settings(LevelKind kind = LevelKind::share) {
   Settings s;
-  s.operations = {{Effect::idempotent, {}, {}, Span::seconds(1), 1, false},
-                  {Effect::side_effecting, {}, {}, Span::seconds(1), 3, false}};
-  s.zones = 3;
+  s.operations = {{Effect::idempotent, Span::seconds(1), 1, false},
+                  {Effect::side_effecting, Span::seconds(1), 3, false}};
   s.level_kind = kind;
   s.report_every = Span::seconds(1);
   s.intake = 500;
-  s.unserved_limit = Span::seconds(3);
   s.backlog = 4000, s.push_rate = 4000, s.per_message = 5;
   s.messages_window = Span::seconds(10);
   s.ask_within = Span::seconds(10);
@@ -35,7 +32,7 @@
   explicit Bench(Settings s, unsigned n = 12) : settings{s}, policy{std::move(s), 7}, size{n} {
     Listed listed{ListScope::remembered, {}};
     for (unsigned k = 0; k < n; ++k) listed.entries.push_back(entry(k));
-    tell({listed, ProxyJoined{ProxyId{0}, true}, ProxyJoined{ProxyId{1}, true}});
+    tell({listed, ProxyJoined{ProxyId{0}, ZoneId{0}}, ProxyJoined{ProxyId{1}, ZoneId{1}}});
   }
 
   static Listed::Entry entry(unsigned k, Availability a = Availability::ready,
@@ -46,6 +43,7 @@
     last = policy.handle(now, events);
     for (const auto& order : last) {
       if (const auto* line = std::get_if<SetLine>(&order)) {
+        if (line->table != TableId{}) continue;
         if (line->weight > 0)
           table[line->backend] = line->weight;
         else
@@ -53,7 +51,7 @@
       } else if (const auto* level = std::get_if<SetLevel>(&order)) {
         levels[level->operation] = level->level;
       } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
-        bound.insert(bind->proxy);
+        bound[bind->proxy] = bind->table;
       }
     }
   }
@@ -82,7 +80,7 @@
       }
       for (std::uint16_t p = 0; p < 2; ++p)
         for (std::uint8_t op = 0; op < 2; ++op)
-          events.emplace_back(DemandReport{ProxyId{p}, OperationId{op}, 30, 0, Span::seconds(1)});
+          events.emplace_back(DemandReport{ProxyId{p}, OperationId{op}, 30, Span::seconds(1)});
       tell(events);
     }
   }
@@ -90,6 +88,22 @@
     rounds(n, [](unsigned, BackendReport&) {});
   }
 
+  // A round from the proxies of zones 0 and 1; when the link is cut, zone 0's can't reach zone 2.
+  void link_round(bool cut) {
+    now = now + Span::seconds(1);
+    std::vector<Event> events;
+    for (std::uint16_t from = 0; from < 2; ++from)
+      for (unsigned k = 0; k < size; ++k)
+        events.emplace_back(BackendReport{ZoneId{from},
+                                          BackendId{100 + k},
+                                          8,
+                                          cut && from == 0 && k % 3 == 2 ? 8 : 0,
+                                          Span::seconds(0.2),
+                                          Span::seconds(1),
+                                          {}});
+    tell(events);
+  }
+
   Settings settings;
   Policy policy;
   unsigned size;
@@ -97,7 +111,7 @@
   std::vector<Order> last;
   std::map<BackendId, double> table;
   std::map<OperationId, double> levels;
-  std::set<ProxyId> bound;
+  std::map<ProxyId, TableId> bound;
 };
 
 }  // namespace gorsemount::testing
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -35,7 +35,7 @@
   unheard.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, unheard.now)}}});
   EXPECT_EQ(unheard.weight(3), 0);
   Bench hot{settings()};
-  const auto busy = [](unsigned, BackendReport& r) { r.load.busy = 0.95; };
+  const auto busy = [](unsigned, BackendReport& r) { r.busy = 0.95; };
   hot.rounds(3, busy);
   hot.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, hot.now)}}});
   EXPECT_EQ(hot.weight(3), 0);
@@ -127,12 +127,22 @@
   EXPECT_DOUBLE_EQ(b.weight(1), 1);
 }
 
+TEST(Links, ProxiesThatAZonesLinkCutsOffKeepToWhatTheyReachAndComeBack) {
+  Bench b{settings()};
+  for (int round = 0; round < 3; ++round) b.link_round(round > 0);
+  EXPECT_NE(b.bound[ProxyId{0}], TableId{});
+  EXPECT_EQ(b.bound[ProxyId{1}], TableId{});
+  EXPECT_EQ(b.table.size(), 12U);
+  for (int round = 0; round < 30; ++round) b.link_round(false);
+  EXPECT_EQ(b.bound[ProxyId{0}], TableId{});
+}
+
 TEST(Levels, OverloadTakesFromTheLeastBilledFirstAndGivesBack) {
   Bench b{settings()};
-  b.rounds(2, [](unsigned, BackendReport& r) { r.load.busy = 1.0, r.mean_latency = Span::seconds(0.6); });
+  b.rounds(2, [](unsigned, BackendReport& r) { r.busy = 1.0, r.mean_latency = Span::seconds(0.6); });
   EXPECT_LT(b.levels[OperationId{0}], 0.9);
   EXPECT_DOUBLE_EQ(b.levels[OperationId{1}], 1);
-  b.rounds(12, [](unsigned, BackendReport& r) { r.load.busy = 0.4; });
+  b.rounds(12, [](unsigned, BackendReport& r) { r.busy = 0.4; });
   EXPECT_DOUBLE_EQ(b.levels[OperationId{0}], 1);
 }
 
--- a/tests/rules_model_test.cpp
+++ b/tests/rules_model_test.cpp
@@ -29,27 +29,28 @@
   }
   void join(ProxyId p) { joined_.insert(p), bound_.erase(p); }
   void leave(ProxyId p) { joined_.erase(p), bound_.erase(p); }
-  void restart() { joined_.clear(), bound_.clear(), table_.clear(), log_.clear(), waiting_ = 0; }
+  void restart() { joined_.clear(), bound_.clear(), tables_.clear(), log_.clear(), waiting_ = 0; }
 
   void take(Instant now, const std::vector<Order>& orders) {
     std::map<ProxyId, double> message;
     for (const auto& order : orders) {
       if (const auto* line = std::get_if<SetLine>(&order)) {
-        if (line->weight > 0)
-          table_[line->backend] = line->weight;
-        else
-          table_.erase(line->backend);
-        for (const auto p : bound_) message[p] += 1;
+        if (line->weight > 0) {
+          tables_[line->table][line->backend] = line->weight;
+        } else {
+          tables_[line->table].erase(line->backend);
+        }
+        for (const auto& [p, table] : bound_) message[p] += table == line->table ? 1 : 0;
       } else if (const auto* level = std::get_if<SetLevel>(&order)) {
         ++levels_;
         EXPECT_TRUE(s_.operations.at(level->operation.value).effect == Effect::idempotent ||
                     level->tries <= FurtherTries::after_proof);
         EXPECT_GE(level->level, 0);
-        for (const auto p : bound_) message[p] += 1;
+        for (const auto& [p, table] : bound_) message[p] += table == level->table ? 1 : 0;
       } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
         EXPECT_TRUE(joined_.contains(bind->proxy));
-        bound_.insert(bind->proxy);
-        message[bind->proxy] += 1 + static_cast<double>(table_.size() + s_.operations.size());
+        bound_[bind->proxy] = bind->table;
+        message[bind->proxy] += 1 + static_cast<double>(tables_[bind->table].size() + s_.operations.size());
       } else if (const auto* probe = std::get_if<ProbeBackend>(&order)) {
         EXPECT_TRUE(s_.may_probe && known_.contains(probe->backend));
       }
@@ -57,6 +58,7 @@
     waiting_ = std::max(0.0, waiting_ - (now - seen_).seconds() * s_.push_rate);
     seen_ = now;
     for (const auto& [p, cost] : message) {
+      if (cost <= 0) continue;
       waiting_ += cost + s_.per_message;
       auto& log = log_[p];
       log.push_back(now);
@@ -66,39 +68,44 @@
       }
     }
     EXPECT_LE(waiting_, s_.backlog) << "rule 5, lines";
-    check(now);
+    std::set<TableId> used;
+    for (const auto& [p, table] : bound_) used.insert(table);
+    for (const auto table : used) check(now, tables_[table]);
+    for (const auto p : joined_) {
+      EXPECT_TRUE(bound_.contains(p)) << "rule 1: a proxy is not bound";
+    }
   }
 
  private:
-  void check(Instant now) const {
+  void check(Instant now, const std::map<BackendId, double>& lines) const {
     double warm = 0, warm_weight = 0;
     for (const auto& [id, k] : known_) {
       const bool ready = k.entry.availability == Availability::ready;
-      const auto line = table_.find(id);
+      const auto line = lines.find(id);
       if (!ready) {
-        EXPECT_EQ(line, table_.end()) << "rule 3: draining";
+        EXPECT_EQ(line, lines.end()) << "rule 3: draining";
         continue;
       }
       const double age = k.entry.started ? (now - *k.entry.started).seconds() / s_.cold_for.seconds() : 1;
       warm += age >= 1 ? 1 : 0;
-      if (line == table_.end()) continue;
+      if (line == lines.end()) continue;
       warm_weight += age >= 1 ? line->second : 0;
       // Twice what it is sure to have leaves room below every multiple that a deployment sets.
       if (age < 1) {
         EXPECT_LE(line->second, 2 * (s_.cold_from + (1 - s_.cold_from) * age)) << "rule 4";
       }
     }
-    for (const auto& [id, weight] : table_) EXPECT_TRUE(known_.contains(id)) << "rule 3: gone";
+    for (const auto& [id, weight] : lines) EXPECT_TRUE(known_.contains(id)) << "rule 3: gone";
     if (warm > 0) {
       EXPECT_GT(warm_weight, 0) << "rule 1: no warm line";
-      EXPECT_EQ(bound_, joined_) << "rule 1: a proxy is not bound";
     }
   }
 
   Settings s_;
   std::map<BackendId, Known> known_;
-  std::set<ProxyId> joined_, bound_;
-  std::map<BackendId, double> table_;
+  std::set<ProxyId> joined_;
+  std::map<ProxyId, TableId> bound_;
+  std::map<TableId, std::map<BackendId, double>> tables_;
   std::map<ProxyId, std::deque<Instant>> log_;
   int levels_ = 0;
   double waiting_ = 0;
@@ -133,7 +140,8 @@
         if (present.erase(ProxyId{p}) > 0)
           events.emplace_back(ProxyLeft{ProxyId{p}}), model.leave(ProxyId{p});
         if (storm || roll(2) == 0)
-          present.insert(ProxyId{p}), events.emplace_back(ProxyJoined{ProxyId{p}, roll(2) == 0}),
+          present.insert(ProxyId{p}),
+              events.emplace_back(ProxyJoined{ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}}),
               model.join(ProxyId{p});
       }
     }
@@ -159,7 +167,7 @@
                                             {roll(12) * 0.1, {}, {}}});
       for (const auto p : present)
         events.emplace_back(
-            DemandReport{p, OperationId{static_cast<std::uint8_t>(roll(2))}, roll(30), 0, s.report_every});
+            DemandReport{p, OperationId{static_cast<std::uint8_t>(roll(2))}, roll(30), s.report_every});
     }
     if (step == 200) {
       policy = Policy{s, seed + 1};
