--- a/tests/rules_model_test.cpp
+++ b/tests/rules_model_test.cpp
@@ -158,13 +158,10 @@
       const int sick = roll(3) == 0 ? roll(15) : -1;
       for (const auto& [id, e] : fleet)
         if (e.availability == Availability::ready)
-          events.emplace_back(BackendReport{ZoneId{0},
-                                            id,
-                                            8,
+          events.emplace_back(BackendReport{ZoneId{static_cast<std::uint16_t>(roll(2))}, id, 8,
                                             static_cast<int>(id.value) == sick ? 8 : roll(3),
-                                            Span::seconds(0.1 + roll(15) * 0.1),
-                                            s.report_every,
-                                            {roll(12) * 0.1, {}, {}}});
+                                            Span::seconds(0.1 + roll(15) * 0.1), s.report_every,
+                                            roll(12) * 0.1});
       for (const auto p : present)
         events.emplace_back(
             DemandReport{p, OperationId{static_cast<std::uint8_t>(roll(2))}, roll(30), s.report_every});
