--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -254,8 +254,7 @@
   demand[{e.proxy, e.operation}] = e.arrived / e.over.seconds();
 }
 
-// Turns the lines of one report round into a sample for every backend: one without a line was not
-// heard at all, which is evidence too. Rates go by the reports' own spans.
+// Turns the lines of one report round into a sample for every backend; no line is evidence too.
 void Policy::State::close_round() {
   if (round.empty()) return;
   judge_links();
@@ -317,13 +316,14 @@
 // proxies leave the lines that fail them and press on the rest, whatever its weight: so in a hot fleet
 // a newcomer stays out until even a full line's part of all that is sent can't tip it.
 double Policy::State::warmth(const Backend& b) const {
-  if (!b.listed.started || s.cold_for <= Span{}) return 1;
-  const double age = (now - *b.listed.started).seconds() / s.cold_for.seconds();
+  const bool told = b.listed.started && s.cold_for > Span{};
+  const double age = told ? (now - *b.listed.started).seconds() / s.cold_for.seconds() : 1;
   if (age >= 1) return 1;
   const double sure = std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
-  const bool unheard = succeeded_log.empty();  // a coordinator that just started can't tell
   const bool hot = strain > 0.2 || usual_lateness > 0.5 * objective || pressure() > 0.75;
-  if (unheard || (hot && s.tip_multiple * sure < 1.2 * std::max(1.0, press))) return 0;
+  // A fleet can tip within the 3 s that reports take: its line must bear twice its part in any case.
+  // Before its first round a coordinator can't tell.
+  if (succeeded_log.empty() || s.tip_multiple * sure < std::max(2.0, hot ? 1.2 * press : 0)) return 0;
   return sure * sure * (1 - strain);
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -24,8 +24,10 @@
   Bench b{settings()};
   b.rounds(3);
   b.tell({Listed{ListScope::changes, {Bench::entry(3, Availability::ready, b.now)}}});
-  EXPECT_GT(b.weight(3), 0);
   EXPECT_LE(b.weight(3), 0.2);
+  b.rounds(11);
+  EXPECT_GT(b.weight(3), 0.3);
+  EXPECT_LT(b.weight(3), 0.9);
   b.rounds(20);
   EXPECT_DOUBLE_EQ(b.weight(3), 1);
 }
