--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -77,13 +77,13 @@
   bool eased = false;  // it was slow: it climbs by small steps
 
   [[nodiscard]] bool whole() const { return share >= 1 && !falling; }
-  void advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial);
+  void advance(Instant now, const Steps& steps, Verdict verdict, double trial);
   void move(double to, Instant now, Span wait) {
     share = std::clamp(to, 0.0, 1.0), changed = now, next = now + wait;
   }
 };
 
-void Ladder::advance(Instant now, const Steps& steps, Verdict verdict, bool may_try, double trial) {
+void Ladder::advance(Instant now, const Steps& steps, Verdict verdict, double trial) {
   if (verdict == Verdict::failed && !falling && share > 0) {
     if (share < 1) ++relapses;
     falling = true, next = now;
@@ -94,7 +94,7 @@
     // A relapse doubles the hold, three times at most: flapping must not meet the step timers.
     if (share < 1e-9) move(0, now, steps.hold * (1 << std::min(relapses, 3))), falling = false;
   } else if (share <= 0) {
-    if (may_try) move(trial, now, steps.up_every);
+    move(trial, now, steps.up_every);
   } else if (verdict == Verdict::slow) {
     // Slow is not broken: a quarter less, never out, and back by small steps.
     eased = true;
@@ -112,8 +112,6 @@
   Ladder ladder;
   std::deque<Sample> samples;
   std::optional<Instant> line_moved;  // when its line in the table last changed
-  std::optional<Instant> probed;      // the last probe out
-  bool probe_well = false;            // the last probe's answer
 };
 
 // The way from the proxies of one zone to the backends of another.
@@ -145,7 +143,6 @@
 
   void note(const Listed& e);
   void note(const TimerFired&) {}
-  void note(const ProbeAnswered& e);
   void note(const ProxyJoined& e) { joined[e.proxy] = e.zone, bound.erase(e.proxy); }
   void note(const ProxyLeft& e);
   void note(const BackendReport& e) { round.push_back(e); }
@@ -165,7 +162,6 @@
   void judge_zones();
   void judge_links();
   [[nodiscard]] TableId table_of(ZoneId proxies_in) const;
-  void probe_suspects();
   void follow_list();
 
   void want();
@@ -236,12 +232,6 @@
   std::erase_if(roster, [&](const auto& row) { return !seen.contains(row.first); });
 }
 
-void Policy::State::note(const ProbeAnswered& e) {
-  const auto it = roster.find(e.backend);
-  if (it == roster.end()) return;
-  it->second.probe_well = e.succeeded || e.at_capacity;
-}
-
 void Policy::State::note(const ProxyLeft& e) {
   bound.erase(e.proxy);
   joined.erase(e.proxy);
@@ -400,7 +390,7 @@
     Verdict verdict = judge(b);
     if (verdict >= Verdict::slow && !may_condemn(b)) verdict = Verdict::unknown;
     const double trial = std::min(1.0, 0.01 * total / listed_weight(b));
-    b.ladder.advance(now, steps, verdict, !s.may_probe || b.probe_well, trial);
+    b.ladder.advance(now, steps, verdict, trial);
   }
 }
 
@@ -434,7 +424,7 @@
     Verdict verdict = own.share() <= 0.05 ? Verdict::well : Verdict::unknown;
     if (sustained) verdict = Verdict::failed;
     const double trial = weight[zone] > 0 ? std::min(1.0, 0.01 * total / weight[zone]) : 1;
-    ladder.advance(now, steps, verdict, true, trial);
+    ladder.advance(now, steps, verdict, trial);
   }
 }
 
@@ -471,7 +461,7 @@
                         failing ? Verdict::failed
                         : well  ? Verdict::well
                                 : Verdict::unknown,
-                        true, 0.1);
+                        0.1);
   }
 }
 
@@ -505,16 +495,6 @@
   return sum.share();
 }
 
-void Policy::State::probe_suspects() {
-  if (!s.may_probe) return;
-  for (auto& [id, b] : roster) {
-    if (!ready(b) || b.ladder.share > 0) continue;
-    if (b.probed && now - *b.probed < Span::seconds(2)) continue;
-    b.probed = now;
-    out.emplace_back(ProbeBackend{id});
-  }
-}
-
 void Policy::State::follow_list() {
   if (!s.ask_for_list || following || (ask_at && now < *ask_at)) return;
   ask_at = now + s.ask_within * 0.5;  // unanswered for half the time allowed: ask again
@@ -718,7 +698,6 @@
   follow_list();
   judge_backends();
   judge_zones();
-  probe_suspects();
   want();
   emit();
   if (!wake_at || now >= *wake_at) {
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -30,7 +30,6 @@
   LevelKind level_kind = LevelKind::off;
   FurtherTries usual_tries = FurtherTries::after_proof;
   bool ask_for_list = false;
-  bool may_probe = false;
   Span report_every;
   double intake = 0;  // report lines a second handed on at most; the rest waits
   // The channel to the proxies, in lines.
@@ -64,11 +63,6 @@
 struct TimerFired {
   TimerTag tag;
 };
-struct ProbeAnswered {
-  BackendId backend;
-  bool succeeded = false;
-  bool at_capacity = false;  // turned away: it runs, but takes no more
-};
 struct ProxyJoined {
   ProxyId proxy;
   ZoneId zone;
@@ -91,8 +85,7 @@
   int arrived = 0;
   Span over;
 };
-using Event =
-    std::variant<Listed, TimerFired, ProbeAnswered, ProxyJoined, ProxyLeft, BackendReport, DemandReport>;
+using Event = std::variant<Listed, TimerFired, ProxyJoined, ProxyLeft, BackendReport, DemandReport>;
 
 struct SetLine {
   TableId table;
@@ -109,9 +102,6 @@
   FurtherTries tries = FurtherTries::none;
   double level = 0;  // in the kind that the settings name
 };
-struct ProbeBackend {
-  BackendId backend;
-};
 struct FollowList {};  // subscribe to changes of the list
 struct WakeMe {
   Span after;
@@ -120,7 +110,7 @@
 struct Note {
   std::string text;
 };
-using Order = std::variant<SetLine, BindProxy, SetLevel, ProbeBackend, FollowList, WakeMe, Note>;
+using Order = std::variant<SetLine, BindProxy, SetLevel, FollowList, WakeMe, Note>;
 
 // One coordinator's decisions. Instances share nothing.
 class Policy {
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -133,7 +133,6 @@
   }
   s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
   s.ask_for_list = config.text("discovery") == "subscribe";
-  s.may_probe = config.object("limits").flag("may-probe");
   s.report_every = family.span("report-every-s");
   s.intake = family.number("intake-per-s");
   s.backlog = family.number("backlog");
@@ -186,10 +185,6 @@
 
 std::optional<Event> read_event(const std::string& kind, const Fields& f) {
   if (kind == "alarm") return TimerFired{TimerTag{f.whole("tag", kTokenMost)}};
-  if (kind == "check-result") {
-    const auto code = f.text("code");
-    return ProbeAnswered{read_backend(f), code == "served", code == "turned_away"};
-  }
   if (kind == "checked-in") return ProxyJoined{read_proxy(f), read_zone(f)};
   if (kind == "disconnected") return ProxyLeft{read_proxy(f)};
   if (kind == "digest") {
@@ -231,7 +226,6 @@
               {"how", static_cast<int>(o.tries)},
               {"quota", o.level}};
     }
-    Json operator()(const ProbeBackend& o) const { return {{"t", "poll"}, {"backend", o.backend.value}}; }
     Json operator()(const FollowList&) const { return {{"t", "stream-changes"}, {"on", true}}; }
     Json operator()(const WakeMe& o) const {
       return {{"t", "remind"}, {"from-now-s", o.after.seconds()}, {"tag", o.tag.value}};
--- a/tests/rules_model_test.cpp
+++ b/tests/rules_model_test.cpp
@@ -51,8 +51,6 @@
         EXPECT_TRUE(joined_.contains(bind->proxy));
         bound_[bind->proxy] = bind->table;
         message[bind->proxy] += 1 + static_cast<double>(tables_[bind->table].size() + s_.operations.size());
-      } else if (const auto* probe = std::get_if<ProbeBackend>(&order)) {
-        EXPECT_TRUE(s_.may_probe && known_.contains(probe->backend));
       }
     }
     waiting_ = std::max(0.0, waiting_ - (now - seen_).seconds() * s_.push_rate);
@@ -116,7 +114,6 @@
   std::mt19937 dice{seed};
   const auto roll = [&](int n) { return static_cast<int>(std::uniform_int_distribution<>{0, n - 1}(dice)); };
   Settings s = settings(static_cast<LevelKind>(seed % 3));
-  s.may_probe = seed % 2 == 0;
   s.messages_most = seed % 4 == 0 ? 30 : 0;
   Policy policy{s, seed};
   Model model{s};
