--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -580,7 +580,8 @@
   double in_use = 0;
   for (const auto& [id, b] : roster) in_use += shared.lines.contains(id) ? listed_weight(b) * warmth(b) : 0;
   const double busy = pressure();
-  const bool jammed = strain > 0.1 || usual_lateness > 0.6 * objective;
+  // A jam keeps processors busy; errors in an idle fleet have another cause that levels do not cure.
+  const bool jammed = busy > 0.7 && (strain > 0.1 || usual_lateness > 0.6 * objective);
   if (busy > 0.3 && in_use > 0 && (!jammed || carried.empty()))  // below, too idle to tell
     carried.push_back(succeeded_log.back() / s.report_every.seconds() * admitted_cost / admitted / busy /
                       in_use);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -148,4 +148,11 @@
   EXPECT_DOUBLE_EQ(b.levels[OperationId{0}], 1);
 }
 
+TEST(Levels, ErrorsInAnIdleFleetLowerNoLevel) {
+  Bench b{settings()};
+  b.rounds(6, [](unsigned, BackendReport& r) { r.busy = 0.5; });
+  b.rounds(6, [](unsigned, BackendReport& r) { r.busy = 0.5, r.errored = 3; });
+  EXPECT_DOUBLE_EQ(b.levels[OperationId{0}], 1);
+}
+
 }  // namespace gorsemount::testing
