--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -5,7 +5,7 @@
 //
 // The mechanism (docs/design.md): one table for all proxies, weight = listed weight x ladder share.
 // A ladder steps a silo's share down on a sustained failure signal, and back up in trial steps. There
-// are ladders for zones and, as the smallest silo, for single backends.
+// are ladders for zones, for single backends (the smallest silo) and for the links between zones.
 #include "policy/policy.hpp"
 
 #include <algorithm>
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -107,10 +106,7 @@
   Span after;
   TimerTag tag;
 };
-struct Note {
-  std::string text;
-};
-using Order = std::variant<SetLine, BindProxy, SetLevel, FollowList, WakeMe, Note>;
+using Order = std::variant<SetLine, BindProxy, SetLevel, FollowList, WakeMe>;
 
 // One coordinator's decisions. Instances share nothing.
 class Policy {
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -230,7 +230,6 @@
     Json operator()(const WakeMe& o) const {
       return {{"t", "remind"}, {"from-now-s", o.after.seconds()}, {"tag", o.tag.value}};
     }
-    Json operator()(const Note& o) const { return {{"t", "note-down"}, {"body-text", o.text}}; }
   };
   Json json = std::visit(Writer{mask_of}, order);
   json["i"] = instance;
