Ease a backend whose processors are full beside its peers', before it is late

Guards against any cause that fills one machine; could harm where a backend is busy with work that is not ours and would be eased for it, which is right as well.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -350,7 +350,12 @@
   const double late = lateness(b, since);
   // Where the fleet is calm a wider margin keeps ordinary weights as listed.
   const double part = usual_lateness < 0.3 * objective ? 0.6 : 0.5;
-  const bool slow = late > std::max(part * objective, 1.3 * usual_lateness);
+  // Full processors in a loaded fleet, beside the peers', come before late answers.
+  double busy = 0, told = 0;
+  for (auto it = b.samples.rbegin(); it != b.samples.rend() && told < 3 && it->heard > since; ++it)
+    if (it->busy) busy += *it->busy, ++told;
+  const bool full = told >= 2 && pressure() > 0.55 && busy / told > std::max(0.9, 1.2 * pressure());
+  const bool slow = full || late > std::max(part * objective, 1.3 * usual_lateness);
   // Missing: silence where 7 tries were due (by chance once in a thousand rounds). Where all lines
   // are late nothing is due, since what is due is a part of what was heard.
   const bool missing = own.expected >= 7 && own.tries < 0.1 * own.expected;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -106,6 +106,15 @@
   EXPECT_LT(b.weight(5), 0.8);
 }
 
+TEST(Ladder, ABackendWithFullProcessorsInALoadedFleetIsEasedBeforeItIsLate) {
+  Bench b{settings()};
+  b.rounds(4, [](unsigned k, BackendReport& r) { r.busy = k == 5 ? 1.0 : 0.7; });
+  EXPECT_LT(b.weight(5), 1);
+  Bench calm{settings()};
+  calm.rounds(4, [](unsigned k, BackendReport& r) { r.busy = k == 5 ? 1.0 : 0.4; });
+  EXPECT_DOUBLE_EQ(calm.weight(5), 1);
+}
+
 TEST(Ladder, ABackendThatJamsAfterLateAnswersIsSteppedDownNotOut) {
   Bench b{settings()};
   b.rounds(2, [](unsigned k, BackendReport& r) { r.mean_latency = Span::seconds(k == 5 ? 0.9 : 0.2); });
