--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -311,9 +311,9 @@
   if (age >= 1) return 1;
   const double sure = std::clamp(s.cold_from + (1 - s.cold_from) * age, s.cold_from, 1.0);
   const bool hot = strain > 0.2 || usual_lateness > 0.5 * objective || pressure() > 0.75;
-  // A fleet can tip within the 3 s that reports take: its line must bear twice its part in any case.
+  // A fleet can tip within the 3 s that reports take: its line must bear 2.4 times its part in any case.
   // Before its first round a coordinator can't tell.
-  if (succeeded_log.empty() || s.tip_multiple * sure < std::max(2.0, hot ? 1.2 * press : 0)) return 0;
+  if (succeeded_log.empty() || s.tip_multiple * sure < std::max(2.4, hot ? 1.2 * press : 0)) return 0;
   return sure * sure * (1 - strain);
 }
 
