--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -530,8 +530,8 @@
   // A rising line waits until it is worth a message; a falling one does not.
   for (auto& [id, weight] : lines) {
     const auto line = shared.lines.find(id);
-    const bool small = line != shared.lines.end() && weight > line->second && weight < 1.15 * line->second;
-    if (small && warmth(roster[id]) < 1) weight = line->second;
+    const bool small = line != shared.lines.end() && weight > line->second && weight < 1.2 * line->second;
+    if (small && (warmth(roster[id]) < 1 || roster[id].ladder.share < 1)) weight = line->second;
   }
   if (wanted_levels.empty()) want_levels();
   // A zone's proxies leave the shared table while a link of theirs is not whole and the rest has warm lines.
