Count silence since the last answer, and call what fails after late answers a jam

Silence now runs from the last succeeded try; errors or silence after answers of over six tenths of the objective are a jam and step down, whatever the median does; errors are set beside three times the whole fleet's share again.

It could harm where a machine that goes silent was slow before: it is eased by quarters before it is out.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -116,6 +116,7 @@
 struct Silo {
   Ladder ladder;
   std::deque<Sample> samples;
+  Instant answered;  // when a succeeded try was last heard of
   [[nodiscard]] Tally tally(std::size_t most, Instant since) const {  // of the last samples begun since
     Tally t;
     for (auto it = samples.rbegin(); it != samples.rend() && most > 0 && it->began() > since; ++it, --most)
@@ -186,11 +187,12 @@
   // Summed up anew whenever lines were heard.
   Instant latest, fresh;          // when that was; samples that began after `fresh` bear on the present
   double cycle = 0;               // the median line's span, s: how far apart a backend's lines come
+  double all_errors = 0;          // the share of errors of all that are in
   double strain = 0;              // errors that all share
   double usual_lateness = 0;      // the median backend's, s
   double pressure = 0;            // mean use of the backends' processors; 0 where they do not tell
   double tried = 0, carried = 0;  // a second: tries, and the succeeded of them
-  std::vector<double> due;        // tries a second for a line's weight, by cut
+  std::vector<double> due;        // answers a second for a line's weight, by cut
 
   std::vector<Level> wanted_levels;
   std::optional<Instant> levels_at;
@@ -268,6 +270,7 @@
     const double tries = r.tries, errored = r.errored;
     sample.tally += Tally{tries, errored, (tries - errored) * r.mean_latency.seconds()};
     if (r.busy) sample.busy = r.busy;
+    if (tries > errored) silo.answered = now;
   }
 
   // Turns report lines into samples. Where the host hands on fewer lines than there are, those of one round
@@ -309,7 +312,8 @@
       spans.push_back(last.over);
       if (now - last.heard < Span::seconds(0.95 * cycle)) {
         const double rate = last.tally.tries / last.over;
-        tried += rate, carried += rate * (1 - last.tally.share()), due[b.cut] += rate;
+        tried += rate, carried += rate * (1 - last.tally.share());
+        due[b.cut] += rate * (1 - last.tally.share());
       }
       if (const double own = lateness(b.tally(4, fresh - Span::seconds(2 * cycle))); own > 0)
         late.push_back(own);
@@ -324,6 +328,7 @@
     // The errors that the fleet has in common: without the worst quarter of the backends, whose errors are
     // their own. It is what tells an overload from broken backends.
     std::sort(all.begin(), all.end(), [](const Tally& a, const Tally& b) { return a.share() < b.share(); });
+    all_errors = std::accumulate(all.begin(), all.end(), Tally{}, std::plus<>{}).share();
     all.resize(all.size() * 3 / 4);
     strain = std::accumulate(all.begin(), all.end(), Tally{}, std::plus<>{}).share();
   }
@@ -360,22 +365,20 @@
     const double late = lateness(b.tally(4, since));
     const double part = usual_lateness < 0.3 * objective ? 0.6 : 0.5;  // calm: weights stay as listed
     const bool slow = late > std::max(part * objective, 1.3 * usual_lateness);
-    // Missing: silence, since its line last moved, where 7 tries were due (by chance once in a thousand
-    // rounds) beyond a line's usual wait. Where all lines are late the time to the latest stands still.
-    const Instant from =
-        std::max(b.line_moved + Span::seconds(1.5), b.samples.empty() ? Instant{} : b.samples.back().heard);
-    const double silent = (latest - from).seconds();
+    // Missing: no answer, since its line last moved, where 7 were due (by chance once in a thousand rounds),
+    // for over a line's usual wait. Where all lines are late the time to the latest stands still.
+    const double silent = (latest - std::max(b.line_moved + Span::seconds(1.5), b.answered)).seconds();
     const bool missing = silent > 1.6 * cycle && silent * due[b.cut] * b.line >= 7;
-    // Errors: a third of four answers or more, and three times what all share, unless the list has lost it
+    // Errors: a third of four answers or more, and three times the fleet's share, unless the list has lost it
     // too. In an overload all fail alike, and none is condemned.
-    const double usual = b.dropped ? 0 : 3 * strain;
+    const double usual = b.dropped ? 0 : 3 * all_errors;
     const bool errors = own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, usual);
     if (missing || errors) {
       // Late answers shortly before mean a jam, which less work clears; prompt ones mean a break.
       double answered = 0;
       for (std::size_t k = b.samples.size(), n = 0; k-- > 0 && n < 4; ++n)
         answered = std::max(answered, b.samples[k].tally.latency());
-      return answered > std::max(0.6 * objective, 1.5 * usual_lateness) ? Verdict::slow : Verdict::failed;
+      return answered > 0.6 * objective ? Verdict::slow : Verdict::failed;
     }
     if (slow) return Verdict::slow;
     const bool well = own.tries >= 2 && own.share() < 0.2 && late < 1.1 * usual_lateness;
