Cut large tables finer: lines in use eight times a keep-alive span, twelve lines at least

A proxy used a line of its 32-line table every 5 s: connections stood open at every backend, took their part of its capacity and cost work anew after each change.

It could harm where a whole kind or cell falls and a cut of twelve happens to hold many of it.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -464,7 +464,7 @@
 
   // One table for all where the channel can send it and its lines stay in use. Where not, the table is cut
   // into a few, each with its part of every zone and kind, so that weights and ladders act in each as in the
-  // one: a line used less than three times in the keep-alive span costs a new connection every time, and a
+  // one: a line used under eight times in the keep-alive span keeps idle connections or opens new ones, and a
   // table that takes over 3 s to send is late for every drain.
   void cut_table() {
     if (joined.empty()) return;
@@ -475,11 +475,12 @@
     double rate = 0, n = 0;
     for (const auto& [id, p] : joined) rate += p.rate;
     for (const auto& [id, b] : roster) n += ready(b) ? 1 : 0;
-    const double in_use = rate / size * s.keepalive.seconds() / 3;
+    const double in_use = rate / size * s.keepalive.seconds() / 8;
     const double in_time = 3 * s.push_rate / std::max(usual, size) - s.per_message;
-    // Under 16 lines the loss of a cell or a kind weighs too unevenly.
-    const double lines = rate > 0 ? std::max(16.0, std::min(in_use, in_time)) : n;
-    const auto fit = static_cast<std::size_t>(std::max(1.0, n / lines));
+    // Under 12 lines the loss of a cell or a kind weighs too unevenly.
+    const double lines = rate > 0 ? std::max(12.0, std::min(in_use, in_time)) : n;
+    // Few tables: each serves five proxies or more.
+    const auto fit = static_cast<std::size_t>(std::max(1.0, std::min(n / lines, std::max(usual, size) / 5)));
     if (cuts != 0 && fit <= 2 * cuts && 2 * fit >= cuts) return;  // cutting anew costs every table
     cuts = fit;
     std::vector<Backend*> dealt;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -98,10 +98,10 @@
     }
   }
   EXPECT_EQ(held.size(), 240U);
-  EXPECT_EQ(zones.size(), 12U);
+  EXPECT_EQ(zones.size(), 20U);
   for (const auto& [table, by_zone] : zones)
-    for (const auto& [zone, n] : by_zone) EXPECT_GE(n, 6);
-  for (const auto& [table, n] : users) EXPECT_NEAR(n, 100 / 12, 1);
+    for (const auto& [zone, n] : by_zone) EXPECT_EQ(n, 4);
+  for (const auto& [table, n] : users) EXPECT_EQ(n, 5);
 }
 
 TEST(Ladder, ABackendThatFailsFastGoesOutAndIsTriedAgain) {
