Call an eased backend well below a third of the objective; look back by rounds

It could harm where a third of the objective is already the sign of a failing machine: the ladder then climbs and falls.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -298,7 +298,7 @@
   }
 
   void sum_up() {
-    latest = now, fresh = now - Span::seconds(3.5 * cycle);
+    latest = now, fresh = now - Span::seconds(cycle) - s.report_every * 2.5;
     std::vector<double> spans, late;
     std::vector<Tally> all;
     double busy = 0, told = 0;
@@ -315,8 +315,7 @@
         tried += rate, carried += rate * (1 - last.tally.share());
         due[b.cut] += rate * (1 - last.tally.share());
       }
-      if (const double own = lateness(b.tally(4, fresh - Span::seconds(2 * cycle))); own > 0)
-        late.push_back(own);
+      if (const double own = lateness(b.tally(4, fresh - s.report_every * 2)); own > 0) late.push_back(own);
       if (b.ladder.share <= 0) continue;
       if (last.busy) busy += *last.busy, ++told;
       all.push_back(b.tally(2, fresh));
@@ -362,7 +361,7 @@
     // Evidence on a step counts once its effect can have been heard.
     const Instant since = b.ladder.whole() ? Instant{} : b.ladder.changed + Span::seconds(1);
     const Tally own = b.tally(2, since);
-    const double late = lateness(b.tally(4, since));
+    const double late = lateness(b.tally(4, std::max(since, fresh - s.report_every * 2)));
     const double part = usual_lateness < 0.3 * objective ? 0.6 : 0.5;  // calm: weights stay as listed
     const bool slow = late > std::max(part * objective, 1.3 * usual_lateness);
     // Missing: no answer, since its line last moved, where 7 were due (by chance once in a thousand rounds),
@@ -381,7 +380,7 @@
       return answered > 0.6 * objective ? Verdict::slow : Verdict::failed;
     }
     if (slow) return Verdict::slow;
-    const bool well = own.tries >= 2 && own.share() < 0.2 && late < 1.1 * usual_lateness;
+    const bool well = own.tries >= 2 && own.share() < 0.2 && late < std::max(1.1 * usual_lateness, 0.35 * objective);
     return well ? Verdict::well : Verdict::unknown;
   }
 
