Take what the fleet carries from the flow of report lines, not from each sample's span

What was carried seemed to halve, able with it, and half of the invocations were rate-limited while processors stood at 0.35. Told apart from cold newcomers and from slow machines by the printed figures: pressure 0.89 and falling, tries of one second 1204 and of the next 450, traffic steady.

Tries that were heard since the last step, over that time, are exact in both regimes. A batch's span is the median where the host hands on all it may, and the short tenth where not.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -168,7 +168,7 @@
   }
 
   void note(const TimerFired&) {}
-  void note(const BackendReport& e) { round.push_back(e); }
+  void note(const BackendReport& e) { ++told, round.push_back(e); }
 
   [[nodiscard]] bool ready(const Backend& b) const { return b.listed.availability == Availability::ready; }
 
@@ -181,18 +181,20 @@
   std::map<ZoneId, Ladder> zones;
   std::map<std::pair<ZoneId, ZoneId>, Silo> links;           // from the proxies' zone to the backends'
   std::vector<BackendReport> round;                          // lines not yet taken in
+  std::size_t told = 0;                                      // of both kinds
   std::map<std::pair<ProxyId, OperationId>, double> demand;  // invocations a second, as last told
   double objective = 0;                                      // mean latency objective, s
 
   // Summed up anew whenever lines were heard.
   Instant latest, fresh;          // when that was; samples that began after `fresh` bear on the present
-  double cycle = 0;               // the median line's span, s: how far apart a backend's lines come
+  double cycle = 0;               // how far apart a backend's lines come, s
   double all_errors = 0;          // the share of errors of all that are in
   double strain = 0;              // errors that all share
   double usual_lateness = 0;      // the median backend's, s
   double pressure = 0;            // mean use of the backends' processors; 0 where they do not tell
+  Tally flow;                     // all that was heard since the levels were last worked out
   double tried = 0, carried = 0;  // a second: tries, and the succeeded of them
-  std::vector<double> due;        // answers a second for a line's weight, by cut
+  std::vector<double> due;        // tries a second for a line's weight, by cut
 
   std::vector<Level> wanted_levels;
   std::optional<Instant> levels_at;
@@ -258,7 +260,7 @@
 
   void note(const DemandReport& e) {
     if (e.over <= Span{} || e.operation.value >= s.operations.size()) return;
-    demand[{e.proxy, e.operation}] = e.arrived / e.over.seconds();
+    ++told, demand[{e.proxy, e.operation}] = e.arrived / e.over.seconds();
   }
 
   void record(Silo& silo, const BackendReport& r, double over) {
@@ -277,53 +279,52 @@
   // come over several, and each counts over its own span.
   void hear() {
     if (round.empty()) return;
-    // A line that follows a quiet time spans that too: the shorter ones tell how far apart lines come.
+    // Lines that wait their turn span the wait; else a longer span is a quiet time before the last round.
+    const bool waiting = static_cast<double>(told) > 0.9 * s.intake * s.report_every.seconds();
     std::vector<double> spans;
     std::erase_if(round, [this](const auto& r) { return !roster.contains(r.backend); });
-    for (const auto& r : round) spans.push_back(r.over.seconds());
-    const double over = std::max(quantile(std::move(spans), 0.1), 0.5 * s.report_every.seconds());
+    for (const auto& r : round)
+      spans.push_back(r.over.seconds()), flow.tries += r.tries, flow.errored += r.errored;
+    const double over =
+        std::max(quantile(std::move(spans), waiting ? 0.5 : 0.1), 0.5 * s.report_every.seconds());
     for (const auto& r : round)
       if (const Backend& b = roster[r.backend]; b.ladder.share > 0)
         record(links[{r.proxies_in, b.listed.zone}], r, over);
+    cycle = std::max(s.report_every.seconds(), over);
     judge_links();
     for (const auto& r : round) {
       Backend& b = roster[r.backend];
       // What is lost on a link that is cut says nothing of the backend behind it.
-      const auto link = links.find({r.proxies_in, b.listed.zone});
-      if (link == links.end() || link->second.ladder.whole()) record(b, r, over);
+      if (links[{r.proxies_in, b.listed.zone}].ladder.whole()) record(b, r, over);
     }
-    round.clear();
+    round.clear(), told = 0;
     sum_up();
-    if (!levels_at || now - *levels_at > s.report_every * 0.9) levels_at = now, want_levels();
+    const double since = levels_at ? (now - *levels_at).seconds() : over;
+    if (levels_at && since < s.report_every.seconds() * 0.9) return;
+    tried = flow.tries / since, carried = (flow.tries - flow.errored) / since, flow = {};
+    levels_at = now, want_levels();
   }
 
   void sum_up() {
     latest = now, fresh = now - Span::seconds(cycle) - s.report_every * 2.5;
-    std::vector<double> spans, late;
+    std::vector<double> late;
     std::vector<Tally> all;
-    double busy = 0, told = 0;
-    tried = carried = 0;
+    double busy = 0, tell = 0;
     std::vector<double> weights(std::max<std::size_t>(cuts, 1), 1e-9);
     due.assign(weights.size(), 0);
     for (const auto& [id, b] : roster) {
       weights[b.cut] += b.line;
       if (b.samples.empty() || b.samples.back().began() <= fresh) continue;
       const Sample& last = b.samples.back();
-      spans.push_back(last.over);
-      if (now - last.heard < Span::seconds(0.95 * cycle)) {
-        const double rate = last.tally.tries / last.over;
-        tried += rate, carried += rate * (1 - last.tally.share());
-        due[b.cut] += rate * (1 - last.tally.share());
-      }
+      if (now - last.heard < Span::seconds(0.95 * cycle)) due[b.cut] += last.tally.tries / last.over;
       if (const double own = lateness(b.tally(4, fresh - s.report_every * 2)); own > 0) late.push_back(own);
       if (b.ladder.share <= 0) continue;
-      if (last.busy) busy += *last.busy, ++told;
+      if (last.busy) busy += *last.busy, ++tell;
       all.push_back(b.tally(2, fresh));
     }
     for (std::size_t k = 0; k < due.size(); ++k) due[k] /= weights[k];
-    cycle = std::max(s.report_every.seconds(), quantile(std::move(spans), 0.5));
     usual_lateness = quantile(std::move(late), 0.5);
-    pressure = told > 0 ? busy / told : 0;
+    pressure = tell > 0 ? busy / tell : 0;
     // The errors that the fleet has in common: without the worst quarter of the backends, whose errors are
     // their own. It is what tells an overload from broken backends.
     std::sort(all.begin(), all.end(), [](const Tally& a, const Tally& b) { return a.share() < b.share(); });
@@ -370,8 +371,8 @@
     const bool missing = silent > 1.6 * cycle && silent * due[b.cut] * b.line >= 7;
     // Errors: a third of four answers or more, and three times the fleet's share, unless the list has lost it
     // too. In an overload all fail alike, and none is condemned.
-    const double usual = b.dropped ? 0 : 3 * all_errors;
-    const bool errors = own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, usual);
+    const bool errors =
+        own.tries >= 4 && own.errored >= 3 && own.share() > std::max(0.3, b.dropped ? 0 : 3 * all_errors);
     if (missing || errors) {
       // Late answers shortly before mean a jam, which less work clears; prompt ones mean a break.
       double answered = 0;
@@ -380,7 +381,8 @@
       return answered > 0.6 * objective ? Verdict::slow : Verdict::failed;
     }
     if (slow) return Verdict::slow;
-    const bool well = own.tries >= 2 && own.share() < 0.2 && late < std::max(1.1 * usual_lateness, 0.35 * objective);
+    const bool well =
+        own.tries >= 2 && own.share() < 0.2 && late < std::max(1.1 * usual_lateness, 0.35 * objective);
     return well ? Verdict::well : Verdict::unknown;
   }
 
@@ -476,9 +478,8 @@
     for (const auto& [id, b] : roster) n += ready(b) ? 1 : 0;
     const double in_use = rate / size * s.keepalive.seconds() / 8;
     const double in_time = 3 * s.push_rate / std::max(usual, size) - s.per_message;
-    // Under 12 lines the loss of a cell or a kind weighs too unevenly.
+    // Under 12 lines the loss of a cell or a kind weighs too unevenly; under 5 proxies tables are too many.
     const double lines = rate > 0 ? std::max(12.0, std::min(in_use, in_time)) : n;
-    // Few tables: each serves five proxies or more.
     const auto fit = static_cast<std::size_t>(std::max(1.0, std::min(n / lines, std::max(usual, size) / 5)));
     if (cuts != 0 && fit <= 2 * cuts && 2 * fit >= cuts) return;  // cutting anew costs every table
     cuts = fit;
@@ -609,8 +610,7 @@
   // Lines still in the channel, if it sends at half its stated pace, as on a slow day.
   double queued() const { return std::max(0.0, queue - (now - queue_at).seconds() * s.push_rate * 0.5); }
 
-  // What may wait in the channel before orders that can be put off: a cut that a rule forces must still
-  // arrive well within the grace.
+  // What may wait before orders that can be put off: a cut that a rule forces must arrive within the grace.
   double allowance() const { return std::min(0.5 * s.backlog, 0.2 * s.drain_grace.seconds() * s.push_rate); }
 
   // Sends a table's difference, or of it only what a rule forces where the channel has no room for more.
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -29,6 +29,7 @@
   FurtherTries usual_tries = FurtherTries::after_proof;
   bool ask_for_list = false;
   Span report_every;
+  double intake = 0;  // report lines a second handed on at most; the rest waits
   // The channel to the proxies, in lines.
   double backlog = 0;
   double push_rate = 0;
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -134,6 +134,7 @@
   s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
   s.ask_for_list = config.text("discovery") == "subscribe";
   s.report_every = family.span("report-every-s");
+  s.intake = family.number("intake-per-s");
   s.backlog = family.number("backlog");
   s.push_rate = family.number("push-rate");
   s.per_message = family.number("per-message");
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 const char* const kConfig =
-    R"({"discovery":"automatic","family-info":{"backlog":1000,"level-kind":"share","messages-most":0,"per-message":4,"proxies":2,)"
+    R"({"discovery":"automatic","family-info":{"backlog":1000,"intake-per-s":100,"level-kind":"share","messages-most":0,"per-message":4,"proxies":2,)"
     R"("push-rate":500,"report-every-s":1,"try-aims":1.2,"unserved-max-s":2,"update-window-s":10,"usual-how":1},)"
     R"("lanes":[{"effect":"read_like","goal-time-s":1,"worth":1}],"fleet-size":2,"limits":{"keepalive-s":15},)"
     R"("rules":{"cold-from":0.2,"cold-s":15,"drain-grace-s":2,"tip-multiple":4},"zones":["a"],"unheard-of":7})";
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -14,6 +14,7 @@
   s.operations = {{Effect::idempotent, Span::seconds(1), 1}, {Effect::side_effecting, Span::seconds(1), 3}};
   s.level_kind = kind;
   s.report_every = Span::seconds(1);
+  s.intake = 500;
   s.backlog = 4000, s.push_rate = 4000, s.per_message = 5;
   s.messages_window = Span::seconds(10);
   s.keepalive = Span::seconds(15);
