Let a link's trial climb only if it does about as well as the other ways

For a link that is not whole: no more than a quarter lost or 1.5 times the best other way, and 0.3 objectives over it at most, four tries.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -431,8 +431,7 @@
   }
 
   // A link is cut or slow when the tries on it fail or take long and another zone's proxies reach the same
-  // backends well. The post's own story: no backend is to blame, so the cut-off proxies are kept to what they
-  // reach (the post's silo).
+  // backends well. The post's own story: no backend is to blame, and the proxies keep to what they reach.
   void judge_links() {
     std::map<std::pair<ZoneId, ZoneId>, Tally> recent;
     const Instant window = now - Span::seconds(3.5 * cycle);
@@ -451,12 +450,14 @@
           best = tally;
       }
       const Tally own = recent[key];
-      // Two fifths of twenty, while the others lose a fifth of that at most: chance does not do it.
-      const bool lost = own.share() > 0.4 && own.share() > 5 * best.share();
-      const bool slow = own.latency() > 1.5 * std::max(best.latency(), prompt) + 0.4 * objective;
-      const bool enough = link.ladder.whole() ? own.tries >= (lost ? 20 : 40) : own.errored >= 2 || slow;
-      Verdict verdict = own.tries >= 2 && own.share() < 0.2 && !slow ? Verdict::well : Verdict::unknown;
-      if ((lost || slow) && enough && best.tries > 0) verdict = Verdict::failed;
+      // Two fifths of 40, while the others lose a fifth of that at most: chance does not do it. A trial must
+      // do about as well as the other ways, though a jam may slow them all.
+      const bool whole = link.ladder.whole();
+      const double usual = std::max(best.latency(), prompt);
+      const bool lost = own.share() > (whole ? 0.4 : 0.25) && own.share() > (whole ? 5 : 1.5) * best.share();
+      const bool slow = own.latency() > (whole ? 1.5 : 1.0) * usual + (whole ? 0.4 : 0.3) * objective;
+      Verdict verdict = own.tries >= 4 && !lost && !slow ? Verdict::well : Verdict::unknown;
+      if ((lost || slow) && best.tries > 0 && own.tries >= (whole ? 40 : 2)) verdict = Verdict::failed;
       link.ladder.advance(now, kSmall, verdict, 0.1);
     }
   }
