Try backends of a large fleet with half their own part, and climb every second

It could harm where a broken backend answers promptly at first: each failed trial costs twice what it did.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -71,7 +71,7 @@
   Span down_every, hold, up_every;  // hold: from the end of the drain to the trial
 };
 // A small silo (a backend, a link) falls in one step, and climbs in thirds.
-const Steps kSmall{1.0, 1.0 / 3, Span{}, Span::seconds(4), Span::seconds(2)};
+const Steps kSmall{1.0, 1.0 / 3, Span{}, Span::seconds(4), Span::seconds(1)};
 const Steps kZone{1.0 / 3, 0.1, Span::seconds(2), Span::seconds(10), Span::seconds(3)};
 
 struct Ladder {
@@ -399,8 +399,8 @@
       // but for those that the list has lost too.
       if (verdict >= Verdict::slow && out_weight + b.listed.weight * before > 0.4 * total && !b.dropped)
         verdict = Verdict::unknown;
-      // Tried with a hundredth of the traffic, and in a large fleet with a quarter of its own part.
-      b.ladder.advance(now, kSmall, verdict, std::min(0.25, 0.01 * total / b.listed.weight));
+      // Tried with a hundredth of the traffic, and in a large fleet with half of its own part.
+      b.ladder.advance(now, kSmall, verdict, std::min(0.5, 0.01 * total / b.listed.weight));
       if (ready(b)) out_weight += b.listed.weight * (before - b.ladder.share);
       it = b.dropped && b.ladder.share <= 0 ? roster.erase(it) : std::next(it);
     }
