--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -200,8 +200,7 @@
   std::optional<Instant> levels_at;
   std::deque<double> able_log;  // the last rounds: cost a second for full use, by listed weight
   double trim = 1;
-  bool limiting = false;                     // some level is below full
-  std::deque<std::vector<Level>> level_log;  // of the last two rounds: reports answer to the first
+  bool limiting = false;  // some level is below full
 
   std::map<TableId, Table> wanted, present;
   std::map<ProxyId, Proxy> joined;
@@ -564,10 +563,10 @@
     }
     if (s.level_kind == LevelKind::off) return;
 
-    double admitted = 0, admitted_cost = 0;  // a second, under the levels that the reports have seen
+    double admitted = 0, admitted_cost = 0;  // a second, under the levels as they stand
     for (const auto& [key, rate] : demand) {
       Wish& wish = wishes[key.second.value];
-      const double level = level_log.empty() ? kNoLevel : level_log.front()[key.second.value].level;
+      const double level = wanted_levels[key.second.value].level;
       const double in = by_rate ? std::min(rate, level) : rate * std::min(1.0, level);
       wish.rates.push_back(rate), wish.total += rate;
       admitted += in, admitted_cost += in * wish.cost;
@@ -602,8 +601,6 @@
                                                            : kNoLevel;
     }
     if (!limiting) trim = std::min(trim, 1.0);
-    level_log.push_back(wanted_levels);
-    if (level_log.size() > 2) level_log.pop_front();
   }
 
   // ---- What is ordered -----------------------------------------------------------------------------
