Reckon what can be carried by the proxies that are joined: a restarted coordinator starts small

Told apart from a jam (median answer 0.33 s) and from the slow link (its proxies were whole again) by the printed levels of both coordinators.

What is carried counts for the usual rate of the proxies joined then, and is scaled to those joined now. A late demand line of a proxy that has left is dropped, too.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -258,7 +258,7 @@
   }
 
   void note(const DemandReport& e) {
-    if (e.over <= Span{} || e.operation.value >= s.operations.size()) return;
+    if (e.over <= Span{} || e.operation.value >= s.operations.size() || !joined.contains(e.proxy)) return;
     ++told, demand[{e.proxy, e.operation}] = e.arrived / e.over.seconds();
   }
 
@@ -564,6 +564,8 @@
     if (s.level_kind == LevelKind::off) return;
 
     double admitted = 0, admitted_cost = 0;  // a second, under the levels as they stand
+    double usual = 1e-3;                     // this coordinator's part of the traffic
+    for (const auto& [id, p] : joined) usual += p.rate;
     for (const auto& [key, rate] : demand) {
       Wish& wish = wishes[key.second.value];
       const double level = wanted_levels[key.second.value].level;
@@ -572,14 +574,15 @@
       admitted += in, admitted_cost += in * wish.cost;
     }
     if (admitted <= 0) return;
-    // What the fleet can carry is what it carried for its use of processors, by the listed weight in use: the
-    // median of the last rounds without a jam, since a jam hides it. A jam keeps processors busy; errors in
-    // an idle fleet have another cause that levels do not cure.
+    // What the fleet can carry is what it carried for its use of processors, by the listed weight in use and
+    // this coordinator's part, which grows as proxies come back after a restart: the median of the last
+    // rounds without a jam, since a jam hides it. A jam keeps processors busy; errors in an idle fleet have
+    // another cause that levels do not cure.
     double in_use = 0;
     for (const auto& [id, b] : roster) in_use += b.ladder.share > 0 ? b.listed.weight * warmth(b) : 0;
     const bool jammed = pressure > 0.7 && (strain > 0.1 || usual_lateness > 0.6 * objective);
     if (pressure > 0.3 && in_use > 0 && (!jammed || able_log.empty()))  // below, too idle to tell
-      able_log.push_back(carried * admitted_cost / admitted / pressure / in_use);
+      able_log.push_back(carried * admitted_cost / admitted / pressure / in_use / usual);
     if (able_log.empty()) return;
     if (able_log.size() > kSamples) able_log.pop_front();
     // A trim for what that misses: dearer work, queues to clear, levels that let in less than they say.
@@ -588,7 +591,7 @@
     else if (trim < 1 || (limiting && pressure < 0.75))
       trim = std::min(1.3, trim * 1.15);
     // Beyond 0.78 of the processors the slower backends queue (0.85 and 0.72 did worse on most of 18 draws).
-    double allowed = 0.78 * trim * in_use * quantile({able_log.begin(), able_log.end()}, 0.5);
+    double allowed = 0.78 * trim * in_use * usual * quantile({able_log.begin(), able_log.end()}, 0.5);
     limiting = false;
     std::stable_sort(wishes.begin(), wishes.end(),
                      [](const Wish& a, const Wish& b) { return a.value / a.cost > b.value / b.cost; });
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -194,6 +194,28 @@
   EXPECT_DOUBLE_EQ(b.levels[OperationId{0}], 1);
 }
 
+TEST(Levels, WhatCanBeCarriedGrowsWithTheProxiesThatComeBackAfterARestart) {
+  Policy policy{settings(), 1};
+  std::vector<Event> events{Listed{ListScope::remembered, {}}, ProxyJoined{ProxyId{0}, ZoneId{}, 10}};
+  for (unsigned k = 0; k < 12; ++k) std::get<Listed>(events[0]).entries.push_back(Bench::entry(k));
+  double lowest = 1;
+  for (int round = 0; round < 9; ++round) {
+    for (const auto& order : policy.handle(Instant::at_seconds(50 + round), events))
+      if (const auto* level = std::get_if<SetLevel>(&order)) lowest = std::min(lowest, level->level);
+    events.clear();
+    const std::uint16_t proxies = round < 4 ? 1 : 10;
+    for (std::uint16_t p = 1; round == 4 && p < 10; ++p)
+      events.emplace_back(ProxyJoined{ProxyId{p}, ZoneId{}, 10});
+    for (unsigned k = 0; k < 12; ++k)
+      events.emplace_back(
+          BackendReport{ZoneId{}, BackendId{100 + k}, proxies, 0, Span::seconds(0.2), Span::seconds(1), 0.6});
+    for (std::uint16_t p = 0; p < proxies; ++p)
+      for (std::uint8_t op = 0; op < 2; ++op)
+        events.emplace_back(DemandReport{ProxyId{p}, OperationId{op}, 6, Span::seconds(1)});
+  }
+  EXPECT_DOUBLE_EQ(lowest, 1);
+}
+
 TEST(Levels, ErrorsInAnIdleFleetLowerNoLevel) {
   Bench b{settings()};
   b.rounds(6, [](unsigned, BackendReport& r) { r.busy = 0.5; });
