--- /dev/null
+++ b/src/app/exit_codes.hpp
@@ -0,0 +1,13 @@
+// What the programs return. docs/operating.md lists them.
+#pragma once
+
+namespace gorsemount::app {
+
+inline constexpr int kWell = 0;
+inline constexpr int kRuleBroken = 1;    // `day`: a rule broke
+inline constexpr int kBadSettings = 2;   // a file that can't be used
+inline constexpr int kCannotListen = 3;
+inline constexpr int kFailed = 4;        // anything else
+inline constexpr int kBadCommand = 64;   // the command line
+
+}  // namespace gorsemount::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,33 @@
+// The program `gorsemount`: subcommands and exit codes.
+#include <CLI/CLI.hpp>
+
+#include "app/exit_codes.hpp"
+#include "app/serve.hpp"
+
+int main(int argc, char** argv) {
+  using namespace gorsemount::app;
+  CLI::App app{"gorsemount tells forwarders and DNS clients where work goes", "gorsemount"};
+  app.require_subcommand(1);
+  int code = kWell;
+
+  ServeOptions serving;
+  auto* serve_command = app.add_subcommand("serve", "run a coordinator until SIGTERM; SIGHUP reloads the settings");
+  serve_command->add_option("CONFIG", serving.config, "settings (HCL)")->required();
+  serve_command->add_flag("--fixed-weights", serving.fixed, "listed weights, no decisions: to compare with");
+  serve_command->callback([&] { code = serve(serving); });
+
+  std::string file;
+  auto* check_command = app.add_subcommand("check", "check settings and the roster that they name");
+  check_command->add_option("CONFIG", file, "settings (HCL)")->required();
+  check_command->callback([&] { code = check(file); });
+  auto* explain_command = app.add_subcommand("explain-config", "print all values in force and where each came from");
+  explain_command->add_option("CONFIG", file, "settings (HCL)")->required();
+  explain_command->callback([&] { code = explain_config(file); });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& fault) {
+    return app.exit(fault) == 0 ? kWell : kBadCommand;
+  }
+  return code;
+}
--- /dev/null
+++ b/src/app/records.hpp
@@ -0,0 +1,25 @@
+// What the coordinator sent, for an auditor: JSON lines with the monotonic time in microseconds.
+#pragma once
+
+#include <cstdio>
+#include <memory>
+#include <string>
+
+#include "coordinator/types.hpp"
+
+namespace gorsemount::app {
+
+class Records {
+ public:
+  explicit Records(const std::string& file);  // none if empty; throws std::system_error
+  void message(const coordinator::Message& message);
+  void published(const coordinator::Published& published);
+
+ private:
+  struct Close {
+    void operator()(std::FILE* f) const { std::fclose(f); }
+  };
+  std::unique_ptr<std::FILE, Close> file_;
+};
+
+}  // namespace gorsemount::app
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,273 @@
+#include "app/serve.hpp"
+
+#include <fmt/format.h>
+#include <sys/stat.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <memory>
+
+#include "app/exit_codes.hpp"
+#include "app/records.hpp"
+#include "config/settings.hpp"
+#include "coordinator/baseline.hpp"
+#include "coordinator/coordinator.hpp"
+#include "dns/server.hpp"
+#include "hears/prober.hpp"
+#include "log/log.hpp"
+#include "net/loop.hpp"
+
+namespace gorsemount::app {
+
+namespace {
+
+using config::ServeSettings;
+using coordinator::Input;
+
+// Inputs of one moment are stepped together: replies come by the hundred, and a step each would be waste.
+const Span kGather = Span::seconds(0.004);
+const Span kSeenEvery = Span::seconds(1);     // a group's lookups are told to the core once a second
+const Span kLastWords = Span::seconds(0.5);   // for TCP answers that are being written at a stop
+
+dns::FrontSettings front_settings(const ServeSettings& s) {
+  dns::FrontSettings f;
+  f.origin = s.dns.origin, f.hostmaster = s.dns.hostmaster, f.nameservers = s.dns.nameservers;
+  f.address = s.listen.address;
+  f.negative_ttl = static_cast<std::uint32_t>(s.dns.negative_for.seconds());
+  f.udp_size = static_cast<std::uint16_t>(s.dns.additional_most);
+  for (const auto& op : s.core.operations) f.operations.push_back(op.name);
+  f.lines_most = static_cast<std::size_t>(s.core.lines_most);
+  f.addresses_most = static_cast<std::size_t>(s.core.addresses_most);
+  return f;
+}
+
+void print(const std::vector<hcl::Fault>& faults) {
+  for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+}
+
+class Service {
+ public:
+  Service(ServeSettings settings, ServeOptions options)
+      : s_{std::move(settings)},
+        options_{std::move(options)},
+        log_{s_.name, s_.log_level, s_.log_file},
+        records_{s_.records_file},
+        core_{s_.core, options_.fixed ? coordinator::fixed_weights() : coordinator::module_of(s_.core)},
+        front_{front_settings(s_), core_.group_map()},
+        prober_{loop_,
+                {s_.health_path, s_.load_path, s_.health_every, s_.health_timeout, s_.load_every, s_.load_timeout,
+                 s_.core.operations},
+                [this](Input input) { take(std::move(input)); }},
+        seen_(s_.core.groups.size()) {}
+
+  int run() {
+    read_roster();
+    step();
+    try {
+      server_.emplace(loop_, front_, dns::ServerSettings{s_.listen, static_cast<std::size_t>(s_.tcp_most), s_.tcp_idle},
+                      [this](ProxyId group) { looked_up(group); });
+    } catch (const std::exception& fault) {
+      log_.event(log::Level::error, "cannot_listen", {{"at", s_.listen.text()}, {"why", fault.what()}});
+      return kCannotListen;
+    }
+    log_.event(log::Level::info, "listening",
+               {{"at", s_.listen.text()}, {"origin", s_.dns.origin}, {"zone", s_.zone_name},
+                {"lifetime", config::span_text(coordinator::answer_lifetime(s_.core))}});
+    loop_.on_signal(SIGTERM, [this] { stop(); });
+    loop_.on_signal(SIGINT, [this] { stop(); });
+    loop_.on_signal(SIGHUP, [this] { reload(); });
+    watch_roster();
+    loop_.run();
+    const auto c = core_.counters();
+    const auto& f = front_.counters();
+    log_.event(log::Level::info, "stopped",
+               {{"answers", std::to_string(f.answers)}, {"truncated", std::to_string(f.truncated)},
+                {"rate_limited", std::to_string(f.rate_limited)}, {"unsent", std::to_string(server_->unsent())},
+                {"steps", std::to_string(c.steps)}, {"orders", std::to_string(c.orders)},
+                {"messages", std::to_string(c.messages)}, {"held_back", std::to_string(c.held_back)},
+                {"most_waiting", fmt::format("{:.0f}", c.most_waiting)},
+                {"cut_unasked", std::to_string(c.cut_unasked)}, {"stood_in", std::to_string(c.stood_in)}});
+    return kWell;
+  }
+
+ private:
+  void take(Input input) {
+    inputs_.push_back(std::move(input));
+    if (gathering_) return;
+    gathering_ = true;
+    loop_.after(kGather, [this] {
+      gathering_ = false;
+      step();
+    });
+  }
+
+  void looked_up(ProxyId group) {
+    Instant& last = seen_[group.value];
+    if (loop_.now() - last < kSeenEvery) return;
+    last = loop_.now();
+    take(coordinator::LookedUp{group});
+  }
+
+  void step() {
+    const auto effects = core_.step(net::monotonic_now(), std::exchange(inputs_, {}));
+    if (effects.published) {
+      front_.publish(effects.published, core_.group_map());
+      records_.published(*effects.published);
+    }
+    for (const auto& m : effects.messages) records_.message(m);
+    for (const auto& n : effects.notes)
+      log_.event(n.weight == coordinator::Note::Weight::warning ? log::Level::warning : log::Level::info, n.event,
+                 n.fields);
+    loop_.cancel(wake_);
+    wake_ = loop_.at(effects.wake_at, [this] { step(); });
+  }
+
+  // A file is read again when its time, size or inode changed. A bad one changes nothing, and is named once.
+  void read_roster() {
+    struct stat now {};
+    if (::stat(s_.roster_file.c_str(), &now) != 0) {
+      if (std::exchange(roster_fault_, "missing") != "missing")
+        log_.event(log::Level::warning, "roster_kept", {{"file", s_.roster_file}, {"why", "can't be read"}});
+      return;
+    }
+    const auto mark = fmt::format("{} {}.{} {}", now.st_ino, now.st_mtim.tv_sec, now.st_mtim.tv_nsec, now.st_size);
+    if (mark == roster_mark_) return;
+    roster_mark_ = mark;
+    std::vector<hcl::Fault> faults;
+    const std::string text = config::read_file(s_.roster_file, faults);
+    auto read = config::read_roster(text, s_.roster_file, s_.core);
+    faults.insert(faults.end(), read.faults.begin(), read.faults.end());
+    if (!faults.empty()) {
+      roster_fault_ = faults.front().text();
+      for (const auto& f : faults) log_.event(log::Level::warning, "roster_kept", {{"why", f.text()}});
+      return;
+    }
+    roster_fault_.clear();
+    std::vector<coordinator::RosterEntry> entries = std::move(read.entries);
+    // Ids come from the core, so it hears of the list before the backends are asked.
+    const std::size_t n = entries.size();
+    std::vector<std::pair<std::string, Endpoint>> names;
+    for (const auto& e : entries) names.emplace_back(e.name, e.at);
+    inputs_.emplace_back(coordinator::RosterHeard{std::move(entries)});
+    step();
+    std::map<BackendId, Endpoint> asked;
+    for (const auto& [name, at] : names)
+      if (const auto id = core_.id_of(name)) asked[*id] = at;
+    prober_.follow(asked);
+    log_.event(log::Level::info, "roster_read", {{"backends", std::to_string(n)}});
+  }
+
+  void watch_roster() {
+    loop_.after(s_.roster_every, [this] {
+      read_roster();
+      watch_roster();
+    });
+  }
+
+  void reload() {
+    std::vector<hcl::Fault> faults;
+    config::Findings findings;
+    const std::string text = config::read_file(options_.config, faults);
+    ServeSettings fresh = config::read_settings(text, options_.config, findings);
+    faults.insert(faults.end(), findings.faults.begin(), findings.faults.end());
+    if (!faults.empty()) {
+      for (const auto& f : faults) log_.event(log::Level::warning, "reload_refused", {{"why", f.text()}});
+      return;
+    }
+    // What the module was started with can't change under it; saying so beats doing half of it.
+    if (config::fixed_part(fresh) != config::fixed_part(s_))
+      log_.event(log::Level::warning, "reload_partial",
+                 {{"why", "zones, operations, rules, channel, dns names and listen need a restart; kept as they were"}});
+    log_.set_level(fresh.log_level);
+    s_.roster_file = fresh.roster_file, s_.roster_every = fresh.roster_every;
+    s_.core.groups = fresh.core.groups, s_.core.trusted_resolvers = fresh.core.trusted_resolvers;
+    s_.core.lifetime_most = fresh.core.lifetime_most, s_.core.group_idle = fresh.core.group_idle;
+    seen_.assign(s_.core.groups.size(), {});
+    roster_mark_.clear();
+    inputs_.emplace_back(coordinator::Retuned{s_.core});
+    step();
+    read_roster();
+    log_.event(log::Level::info, "reloaded", {{"groups", std::to_string(s_.core.groups.size())}});
+  }
+
+  void stop() {
+    if (std::exchange(stopping_, true)) return loop_.stop();
+    server_->stop();
+    if (server_->connections() == 0) return loop_.stop();
+    loop_.after(kLastWords, [this] { loop_.stop(); });
+  }
+
+  ServeSettings s_;
+  ServeOptions options_;
+  log::Log log_;
+  Records records_;
+  net::Loop loop_;
+  coordinator::Coordinator core_;
+  dns::Front front_;
+  std::optional<dns::Server> server_;
+  hears::Prober prober_;
+  std::vector<Input> inputs_;
+  std::vector<Instant> seen_;
+  net::Loop::Timer wake_;
+  std::string roster_mark_, roster_fault_;
+  bool gathering_ = false, stopping_ = false;
+};
+
+std::optional<ServeSettings> load(const std::string& file, config::Findings& findings) {
+  std::vector<hcl::Fault> faults;
+  const std::string text = config::read_file(file, faults);
+  if (!faults.empty()) {
+    print(faults);
+    return {};
+  }
+  ServeSettings s = config::read_settings(text, file, findings);
+  if (!findings.faults.empty()) {
+    print(findings.faults);
+    std::fprintf(stderr, "%s: %zu fault(s)\n", file.c_str(), findings.faults.size());
+    return {};
+  }
+  return s;
+}
+
+}  // namespace
+
+int serve(const ServeOptions& options) {
+  config::Findings findings;
+  const auto settings = load(options.config, findings);
+  if (!settings) return kBadSettings;
+  try {
+    return std::make_unique<Service>(*settings, options)->run();
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "gorsemount: %s\n", fault.what());
+    return kFailed;
+  }
+}
+
+int check(const std::string& config) {
+  config::Findings findings;
+  const auto settings = load(config, findings);
+  if (!settings) return kBadSettings;
+  std::vector<hcl::Fault> faults;
+  const std::string text = config::read_file(settings->roster_file, faults);
+  if (faults.empty()) faults = config::read_roster(text, settings->roster_file, settings->core).faults;
+  print(faults);
+  if (!faults.empty()) return kBadSettings;
+  std::printf("%s: good\n", config.c_str());
+  return kWell;
+}
+
+int explain_config(const std::string& config) {
+  config::Findings findings;
+  const auto settings = load(config, findings);
+  if (!settings) return kBadSettings;
+  std::size_t path = 0, value = 0;
+  for (const auto& v : findings.values) path = std::max(path, v.path.size()), value = std::max(value, v.value.size());
+  for (const auto& v : findings.values)
+    std::printf("%s\n", fmt::format("{:<{}}  {:<{}}  {}", v.path, path, v.value, value, v.source).c_str());
+  std::printf("%s\n", fmt::format("{:<{}}  {:<{}}  worked out: half of drain_grace less use_after", "answer lifetime", path,
+                                  config::span_text(coordinator::answer_lifetime(settings->core)), value).c_str());
+  return kWell;
+}
+
+}  // namespace gorsemount::app
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,294 @@
+#include "config/settings.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <iterator>
+#include <map>
+
+namespace gorsemount::config {
+
+namespace {
+
+const Span kNone;
+Span ms(double n) { return Span::seconds(n / 1e3); }
+
+// A name of letters, digits and hyphens (RFC 1123, section 2.1), 63 at most: it becomes a DNS label.
+bool is_label(const std::string& text) {
+  return !text.empty() && text.size() <= 63 && text.front() != '-' && text.back() != '-' &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isalnum(c) != 0 || c == '-'; });
+}
+
+bool is_domain(const std::string& text) {
+  if (text.empty() || text.size() > 200) return false;
+  for (std::size_t from = 0; from <= text.size();) {
+    const auto dot = std::min(text.find('.', from), text.size());
+    if (!is_label(text.substr(from, dot - from))) return false;
+    from = dot + 1;
+  }
+  return true;
+}
+
+std::string domain(Section& in, const char* name, std::optional<std::string> otherwise) {
+  std::string text = in.text(name, std::move(otherwise));
+  if (!text.empty() && text.back() == '.') text.pop_back();
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+  if (!text.empty() && !is_domain(text))
+    in.fault(in.place(name), fmt::format("'{}' is \"{}\"; expected a domain name", name, text));
+  return text;
+}
+
+void label_of(const hcl::Block& block, const Section& in) {
+  if (!is_label(block.labels[0].first))
+    in.fault(block.labels[0].second,
+             fmt::format("{} \"{}\": expected letters, digits and hyphens, 63 at most", block.type,
+                         block.labels[0].first));
+}
+
+std::string path_of(const hcl::Block& b) { return fmt::format("{}.{}", b.type, b.labels[0].first); }
+
+ZoneId zone_of(Section& in, const char* name, const std::vector<std::string>& zones) {
+  if (zones.empty()) return static_cast<void>(in.text(name, "")), ZoneId{};
+  return ZoneId{static_cast<std::uint16_t>(in.word(name, zones, std::nullopt))};
+}
+
+std::vector<Prefix> prefixes(Section& in, const char* name) {
+  std::vector<Prefix> result;
+  for (const auto& [text, at] : in.texts(name)) {
+    if (const auto p = Prefix::parse(text)) {
+      result.push_back(*p);
+    } else {
+      in.fault(at, fmt::format("'{}' holds \"{}\"; expected an address prefix with no bits behind its length, "
+                               "such as \"10.1.0.0/16\" or \"2001:db8::/32\"", name, text));
+    }
+  }
+  return result;
+}
+
+Endpoint endpoint(Section& in, const char* name, std::optional<std::string> otherwise) {
+  const std::string text = in.text(name, std::move(otherwise));
+  const auto e = Endpoint::parse(text);
+  if (!e && !text.empty())
+    in.fault(in.place(name), fmt::format("'{}' is \"{}\"; expected an address and a port, such as "
+                                         "\"127.0.0.1:5300\" or \"[::1]:5300\"", name, text));
+  return e.value_or(Endpoint{});
+}
+
+void read_core(Section& root, ServeSettings& s) {
+  auto& core = s.core;
+  for (const auto* b : root.blocks("zone", 1)) {
+    Section in{b->body, b->at, path_of(*b), *root.findings()};
+    label_of(*b, in);
+    core.zones.push_back(b->labels[0].first);
+    in.done();
+  }
+  if (core.zones.empty()) root.fault(root.at(), "no zone is named; expected at least one block: zone \"name\" {}");
+
+  Section own = root.only("coordinator");
+  s.name = own.text("name", "gorsemount");
+  core.zone = zone_of(own, "zone", core.zones);
+  if (core.zone.value < core.zones.size()) s.zone_name = core.zones[core.zone.value];
+  core.seed = static_cast<std::uint64_t>(own.number("seed", 1, {0, 1e15, true}));
+  core.coordinators = own.number("coordinators", 1, {1, 1000, true});
+  core.report_every = own.span("report_every", ms(500), ms(50), Span::seconds(60));
+  core.levels = own.word("levels", {"off", "share"}, 0) == 1;
+  own.done();
+
+  const std::vector<std::string> effects{"idempotent", "fingerprinted", "side-effecting"};
+  for (const auto* b : root.blocks("operation", 1)) {
+    Section in{b->body, b->at, path_of(*b), *root.findings()};
+    label_of(*b, in);
+    coordinator::OperationInfo op;
+    op.name = b->labels[0].first;
+    std::transform(op.name.begin(), op.name.end(), op.name.begin(), [](unsigned char c) { return std::tolower(c); });
+    op.effect = static_cast<Effect>(in.word("effect", effects, std::nullopt));
+    op.latency_objective = in.span("latency_objective", std::nullopt, ms(1), Span::seconds(600));
+    op.integration_timeout = in.span("integration_timeout", std::nullopt, ms(1), Span::seconds(600));
+    op.billed_value = in.number("billed_value", 1, {0, 1e9});
+    if (op.integration_timeout < op.latency_objective)
+      in.fault(in.place("integration_timeout"), "'integration_timeout' is shorter than 'latency_objective'");
+    core.operations.push_back(op);
+    in.done();
+  }
+  if (core.operations.empty())
+    root.fault(root.at(), "no operation is named; expected at least one block: operation \"name\" { ... }");
+  if (core.operations.size() > 32) root.fault(root.at(), "more than 32 operations");
+
+  Section rules = root.only("rules");
+  core.unserved = rules.span("unserved", Span::seconds(3), ms(100), Span::seconds(60));
+  core.drain_grace = rules.span("drain_grace", Span::seconds(5), ms(500), Span::seconds(3600));
+  core.removal_binds = rules.flag("removal_binds", true);
+  core.cold_from = rules.number("cold_from", 0.2, {0.01, 1});
+  core.cold_for = rules.span("cold_for", Span::seconds(15), kNone, Span::seconds(3600));
+  core.tip_multiple = rules.number("tip_multiple", 3, {1, 1000});
+  core.use_after = rules.span("use_after", ms(500), kNone, Span::seconds(60));
+  rules.done();
+  if (core.use_after >= core.drain_grace)
+    rules.fault(rules.place("use_after"), "'use_after' leaves nothing of 'drain_grace'");
+
+  Section channel = root.only("channel");
+  core.backlog = channel.number("backlog", 4000, {10, 1e9}, "lines");
+  core.lines_per_second = channel.number("lines_per_second", 4000, {1, 1e9}, "lines/s");
+  core.per_message = channel.number("per_message", 4, {0, 1000}, "lines");
+  core.messages_most = static_cast<int>(channel.number("messages_most", 0, {0, 1e6, true}, "messages"));
+  core.messages_window = channel.span("messages_window", Span::seconds(10), ms(100), Span::seconds(3600));
+  channel.done();
+
+  Section clients = root.only("clients");
+  core.keepalive = clients.span("keepalive", Span::seconds(15), ms(100), Span::seconds(3600));
+  core.group_idle = clients.span("group_idle", Span::seconds(60), Span::seconds(1), Span::seconds(86400));
+  core.trusted_resolvers = prefixes(clients, "trusted_resolvers");
+  clients.done();
+  std::map<Prefix, std::string> taken;
+  for (const auto* b : root.blocks("group", 1)) {
+    Section in{b->body, b->at, path_of(*b), *root.findings()};
+    coordinator::Group group;
+    group.name = b->labels[0].first;
+    group.zone = zone_of(in, "zone", core.zones);
+    group.sources = prefixes(in, "sources");
+    group.usual_rate = in.number("usual_rate", 1, {0, 1e9}, "invocations/s");
+    if (group.sources.empty())
+      in.fault(in.at(), fmt::format("group \"{}\" has no 'sources'; expected a list of address prefixes", group.name));
+    for (const auto& p : group.sources)
+      if (const auto [it, fresh] = taken.try_emplace(p, group.name); !fresh)
+        in.fault(in.place("sources"), fmt::format("{} is in group \"{}\" too", p.text(), it->second));
+    core.groups.push_back(std::move(group));
+    in.done();
+  }
+  if (core.groups.size() > 20000) root.fault(root.at(), "more than 20000 groups");
+  core.groups.push_back({"elsewhere", core.zone, {}, 1});
+}
+
+}  // namespace
+
+ServeSettings read_settings(const std::string& text, const std::string& file, Findings& findings) {
+  findings.file = file;
+  ServeSettings s;
+  const hcl::Body body = hcl::parse(text, file, findings.faults);
+  if (!findings.faults.empty()) return s;  // what could not be read would look as if it were missing
+  Section root{body, {1, 1}, "", findings};
+  read_core(root, s);
+
+  Section dns = root.only("dns");
+  s.listen = endpoint(dns, "listen", "127.0.0.1:5300");
+  if (s.listen.port < 1024) dns.fault(dns.place("listen"), "ports below 1024 need privileges; expected 1024 to 65535");
+  s.dns.origin = domain(dns, "origin", std::nullopt);
+  s.dns.hostmaster = domain(dns, "hostmaster", "hostmaster." + s.dns.origin);
+  for (auto [name, at] : dns.texts("nameservers")) {
+    if (!name.empty() && name.back() == '.') name.pop_back();
+    if (!is_domain(name)) dns.fault(at, fmt::format("'nameservers' holds \"{}\"; expected a domain name", name));
+    s.dns.nameservers.push_back(name);
+  }
+  if (s.dns.nameservers.empty()) s.dns.nameservers.push_back("ns." + s.dns.origin);
+  s.dns.negative_for = dns.span("negative_for", Span::seconds(1), kNone, Span::seconds(3600));
+  s.dns.additional_most = static_cast<int>(dns.number("udp_size", 1232, {512, 4096, true}, "bytes"));
+  s.core.lines_most = static_cast<int>(dns.number("lines_most", 16, {1, 1000, true}));
+  s.core.addresses_most = static_cast<int>(dns.number("addresses_most", 2, {1, 64, true}));
+  s.core.lifetime_most = dns.span("lifetime_most", Span::seconds(5), kNone, Span::seconds(86400));
+  s.tcp_most = static_cast<int>(dns.number("tcp_most", 256, {1, 10000, true}, "connections"));
+  s.tcp_idle = dns.span("tcp_idle", Span::seconds(10), ms(200), Span::seconds(600));
+  dns.done();
+
+  Section roster = root.only("roster");
+  s.roster_file = roster.text("file", std::nullopt);
+  s.roster_every = roster.span("check_every", ms(200), ms(10), Span::seconds(60));
+  roster.done();
+
+  Section hears = root.only("hears");
+  s.health_path = hears.text("health_path", "/health");
+  s.health_every = hears.span("health_every", ms(250), ms(20), Span::seconds(60));
+  s.health_timeout = hears.span("health_timeout", ms(800), ms(20), Span::seconds(60));
+  s.load_path = hears.text("load_path", "/load");
+  s.load_every = hears.span("load_every", s.core.report_every, ms(20), Span::seconds(60));
+  s.load_timeout = hears.span("load_timeout", ms(800), ms(20), Span::seconds(60));
+  s.core.late_after = hears.span("late_after", ms(500), ms(1), Span::seconds(60));
+  for (const auto& [name, path] : {std::pair{"health_path", &s.health_path}, {"load_path", &s.load_path}})
+    if (path->empty() || path->front() != '/' || path->find_first_of(" \r\n") != std::string::npos)
+      hears.fault(hears.place(name), fmt::format("'{}' is \"{}\"; expected a path that begins with '/'", name, *path));
+  hears.done();
+
+  Section log = root.only("log");
+  const std::vector<std::string> levels{"debug", "info", "warning", "error"};
+  s.log_level = levels[log.word("level", levels, 1)];
+  s.log_file = log.text("file", "");
+  s.records_file = log.text("records", "");
+  log.done();
+  root.done();
+  std::stable_sort(findings.faults.begin(), findings.faults.end(), [](const auto& a, const auto& b) {
+    return std::pair{a.at.line, a.at.column} < std::pair{b.at.line, b.at.column};
+  });
+  return s;
+}
+
+std::string fixed_part(const ServeSettings& s) {
+  const auto& c = s.core;
+  std::string text = fmt::format("{} {} {} {} {}|{}|{}|{}", s.name, s.zone_name, c.seed, c.coordinators, c.levels,
+                                 span_text(c.report_every), s.listen.text(), s.dns.origin);
+  for (const auto& zone : c.zones) text += "|" + zone;
+  for (const auto& op : c.operations)
+    text += fmt::format("|{} {} {} {} {}", op.name, static_cast<int>(op.effect), op.billed_value,
+                        span_text(op.latency_objective), span_text(op.integration_timeout));
+  for (const Span span : {c.unserved, c.drain_grace, c.cold_for, c.use_after, c.keepalive, c.messages_window,
+                          c.late_after, s.health_every, s.health_timeout, s.load_every, s.load_timeout, s.tcp_idle,
+                          s.dns.negative_for})
+    text += "|" + span_text(span);
+  text += fmt::format("|{} {} {} {} {} {} {}|{} {} {}", c.removal_binds, c.cold_from, c.tip_multiple, c.backlog,
+                      c.lines_per_second, c.per_message, c.messages_most, c.lines_most, c.addresses_most, s.tcp_most);
+  return text + fmt::format("|{} {}|{} {}|{}", s.health_path, s.load_path, s.dns.hostmaster, s.dns.additional_most,
+                            fmt::join(s.dns.nameservers, " "));
+}
+
+RosterRead read_roster(const std::string& text, const std::string& file, const coordinator::Settings& core) {
+  RosterRead result;
+  const hcl::Body body = hcl::parse(text, file, result.faults);
+  if (!result.faults.empty()) return result;
+  Findings findings{file, {}, {}};
+  Section root{body, {1, 1}, "", findings};
+  std::vector<std::string> operations;
+  for (const auto& op : core.operations) operations.push_back(op.name);
+  std::map<Endpoint, std::string> taken;
+  for (const auto* b : root.blocks("backend", 1)) {
+    Section in{b->body, b->at, path_of(*b), findings};
+    label_of(*b, in);
+    coordinator::RosterEntry entry;
+    entry.name = b->labels[0].first;
+    entry.zone = zone_of(in, "zone", core.zones);
+    entry.at = endpoint(in, "address", std::nullopt);
+    entry.weight = in.number("weight", 1, {1e-6, 1e6});
+    entry.availability = in.word("state", {"ready", "draining"}, 0) == 1 ? Availability::draining
+                                                                         : Availability::ready;
+    if (const auto open = in.texts("operations"); !open.empty()) {
+      entry.operations = 0;
+      for (const auto& [name, at] : open) {
+        const auto it = std::find(operations.begin(), operations.end(), name);
+        if (it == operations.end()) {
+          const auto near = nearest(name, {operations.begin(), operations.end()});
+          in.fault(at, fmt::format("unknown operation '{}'{}", name, near ? "; did you mean '" + *near + "'?" : ""));
+        } else {
+          entry.operations |= 1U << static_cast<unsigned>(it - operations.begin());
+        }
+      }
+    }
+    if (const auto [it, fresh] = taken.try_emplace(entry.at, entry.name); !fresh)
+      in.fault(in.place("address"), fmt::format("{} is the address of \"{}\" too", entry.at.text(), it->second));
+    result.entries.push_back(std::move(entry));
+    in.done();
+  }
+  root.done();
+  // A list that names nobody is likelier a mistake than the truth, and acting on it would empty every answer.
+  if (result.entries.empty() && findings.faults.empty())
+    findings.faults.push_back({file, {1, 1}, "names no backend; an empty list is never acted on"});
+  result.faults = std::move(findings.faults);
+  return result;
+}
+
+std::string read_file(const std::string& file, std::vector<hcl::Fault>& faults) {
+  std::ifstream in{file, std::ios::binary};
+  std::string text{std::istreambuf_iterator<char>{in}, {}};
+  if (!in.is_open() || in.bad()) faults.push_back({file, {}, "can't be read"});
+  return text;
+}
+
+}  // namespace gorsemount::config
--- /dev/null
+++ b/src/coordinator/channel.cpp
@@ -0,0 +1,87 @@
+#include "coordinator/channel.hpp"
+
+#include <algorithm>
+
+namespace gorsemount::coordinator {
+
+namespace {
+
+// Lines of a message that turns `have` into `want`; a group that is bound anew is sent the whole table.
+double lines_between(const Table* have, const Table& want) {
+  if (have == nullptr || have->id != want.id)
+    return 1 + static_cast<double>(want.lines.size() + want.levels.size());
+  double n = 0;
+  for (const auto& [id, weight] : want.lines) {
+    const auto was = have->lines.find(id);
+    n += was == have->lines.end() || was->second != weight ? 1 : 0;
+  }
+  for (const auto& [id, weight] : have->lines) n += want.lines.contains(id) ? 0 : 1;
+  for (std::size_t k = 0; k < want.levels.size(); ++k)
+    n += k >= have->levels.size() || !(have->levels[k] == want.levels[k]) ? 1 : 0;
+  return n;
+}
+
+}  // namespace
+
+void Channel::leave(ProxyId group) {
+  groups_.erase(group);
+  in_force_.erase(group);
+  std::erase_if(queue_, [&](const Underway& u) { return u.group == group; });
+}
+
+double Channel::waiting(Instant now) const {
+  return std::max(0.0, (free_at_ - now).seconds()) * s_->lines_per_second;
+}
+
+std::vector<Message> Channel::dispatch(Instant now) {
+  std::vector<Message> written;
+  for (auto& [group, state] : groups_) {
+    if (!state.wanted || state.wanted == state.sent) continue;
+    const double lines = lines_between(state.sent.get(), *state.wanted);
+    if (lines <= 0) {
+      state.sent = state.wanted;
+      in_force_[group] = state.wanted;
+      continue;
+    }
+    const double cost = lines + s_->per_message;
+    while (!state.messages.empty() && now - state.messages.front() >= s_->messages_window)
+      state.messages.pop_front();
+    const bool capped =
+        s_->messages_most > 0 && state.messages.size() >= static_cast<std::size_t>(s_->messages_most);
+    if (capped || waiting(now) + cost > s_->backlog) {
+      held_back_ += state.held ? 0 : 1;
+      state.held = true;
+      continue;
+    }
+    state.held = false;
+    state.messages.push_back(now);
+    free_at_ = std::max(free_at_, now) + Span::seconds(cost / s_->lines_per_second);
+    queue_.push_back({group, state.wanted, free_at_});
+    state.sent = state.wanted;
+    most_ = std::max(most_, waiting(now));
+    written.push_back({group, cost, waiting(now)});
+  }
+  return written;
+}
+
+bool Channel::arrive(Instant now) {
+  bool changed = false;
+  while (!queue_.empty() && queue_.front().arrives <= now) {
+    in_force_[queue_.front().group] = std::move(queue_.front().table);
+    queue_.pop_front();
+    changed = true;
+  }
+  return changed;
+}
+
+bool Channel::anyone_holds(BackendId backend, Instant made_before) const {
+  const auto holds = [&](const TablePtr& t) { return t && t->made < made_before && t->lines.contains(backend); };
+  return std::any_of(in_force_.begin(), in_force_.end(), [&](const auto& row) { return holds(row.second); }) ||
+         std::any_of(queue_.begin(), queue_.end(), [&](const auto& u) { return holds(u.table); });
+}
+
+std::optional<Instant> Channel::next_arrival() const {
+  return queue_.empty() ? std::nullopt : std::optional{queue_.front().arrives};
+}
+
+}  // namespace gorsemount::coordinator
--- /dev/null
+++ b/src/coordinator/coordinator.hpp
@@ -0,0 +1,110 @@
+// The coordinator's core: inputs become the module's events, its orders become published tables. It does no
+// I/O and reads no clock; the epoll loop, an emulator and the tests step it alike.
+//
+//   step(now, inputs): absorb -> tell (list) -> joins, timers, a report round -> decide -> apply -> channel
+//   -> publish. `now` never goes back.
+//
+// It keeps what the five rules need even where a decision would not: see publish() and channel.hpp.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "coordinator/channel.hpp"
+#include "coordinator/evidence.hpp"
+#include "coordinator/groups.hpp"
+#include "coordinator/types.hpp"
+
+namespace gorsemount::coordinator {
+
+// What decides: the module, or a baseline beside it.
+using Decide = std::function<std::vector<Order>(Instant, const std::vector<Event>&)>;
+
+// The module's settings, worked out from ours.
+[[nodiscard]] gorsemount::Settings module_settings(const Settings& settings);
+[[nodiscard]] Decide module_of(const Settings& settings);
+
+// How long an answer may be kept, in whole seconds, so that what was cut is out of all caches within the
+// grace. Half of the grace less the time of use: the other half is for the coordinator to hear and to cut.
+[[nodiscard]] Span answer_lifetime(const Settings& settings);
+
+struct Counters {
+  std::uint64_t steps = 0, orders = 0, messages = 0;
+  std::uint64_t held_back = 0;      // messages that did not fit into the channel at once
+  std::uint64_t cut_unasked = 0;    // lines that the published views left out though a table had them
+  std::uint64_t stood_in = 0;       // views that the standing lines filled since they were empty
+  std::uint64_t doubted = 0;        // load replies that were not taken as they came
+  double most_waiting = 0;          // lines
+};
+
+class Coordinator {
+ public:
+  Coordinator(Settings settings, Decide decide);
+  // The parts refer to each other.
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
+  [[nodiscard]] Effects step(Instant now, const std::vector<Input>& inputs);
+
+  // The id by which inputs name a backend of the roster; absent if it never was in it.
+  [[nodiscard]] std::optional<BackendId> id_of(const std::string& name) const;
+  [[nodiscard]] std::shared_ptr<const GroupMap> group_map() const { return group_map_; }
+  [[nodiscard]] Counters counters() const;
+
+ private:
+  struct Row {
+    RosterEntry entry;
+    Instant first_seen;
+    bool listed = true;                  // in the newest roster
+    std::optional<Listed::Entry> told;   // what the module knows
+    Instant learned;                     // when it was last known to drain, to be gone or to start anew
+    bool counts(const Instant made, const bool removal_binds) const {
+      if (!told) return false;
+      if (told->availability == Availability::draining) return false;
+      if (told->availability == Availability::gone && removal_binds) return false;
+      return made >= learned;
+    }
+  };
+
+  void absorb(const RosterHeard& e);
+  void absorb(const LoadHeard& e);
+  void absorb(const LoadMissing& e);
+  void absorb(const HealthHeard& e);
+  void absorb(const LookedUp& e);
+  void absorb(const Retuned& e);
+  void tell_list();
+  void apply(const std::vector<Order>& orders);
+  void publish();
+  [[nodiscard]] std::vector<Line> standing(OperationId operation) const;
+  [[nodiscard]] bool warm(const Row& row) const;
+  void note(Note::Weight weight, std::string event, std::vector<std::pair<std::string, std::string>> fields);
+
+  Settings s_;
+  Decide decide_;
+  std::shared_ptr<const GroupMap> group_map_;
+  Evidence evidence_;
+  Attendance attendance_{s_};
+  Channel channel_{s_};
+
+  Instant now_;
+  std::vector<Event> events_;
+  Effects out_;
+  std::map<std::string, BackendId> ids_;
+  std::map<BackendId, Row> rows_;
+  std::map<BackendId, Doubt> doubts_;    // the last of each, so that only a change is logged
+  std::set<BackendId> unheard_;          // whose load did not come the last time
+  std::multimap<Instant, TimerTag> timers_;
+  std::optional<Instant> round_at_;
+  std::map<TableId, Table> tables_;      // as ordered
+  std::map<TableId, TablePtr> versions_;
+  std::map<ProxyId, TableId> bound_;
+  std::uint64_t table_version_ = 0, view_version_ = 0, publish_version_ = 0;
+  bool listed_once_ = false, dirty_ = true;
+  std::shared_ptr<const std::map<BackendId, Known>> directory_;
+  std::vector<std::vector<Line>> standing_;  // by operation, as last published
+  std::map<std::pair<std::uint64_t, OperationId>, std::shared_ptr<const View>> views_;  // by table version
+  Counters counters_;
+};
+
+}  // namespace gorsemount::coordinator
--- /dev/null
+++ b/src/coordinator/draw.cpp
@@ -0,0 +1,66 @@
+#include "coordinator/draw.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gorsemount::coordinator {
+
+namespace {
+
+// Places at every `step` of the running weight of those in `among`, from `phase` of a step on.
+template <class Take>
+void systematic(const std::vector<Line>& lines, const std::vector<bool>& among, double step, double phase,
+                std::size_t most, Take take) {
+  double edge = phase * step, sum = 0;
+  std::size_t taken = 0;
+  for (std::size_t k = 0; k < lines.size() && taken < most; ++k) {
+    if (!among[k]) continue;
+    sum += lines[k].weight;
+    if (sum <= edge) continue;
+    take(k), ++taken;
+    while (edge < sum) edge += step;
+  }
+}
+
+}  // namespace
+
+std::vector<Drawn> draw_weighted(const std::vector<Line>& lines, std::size_t most, double phase) {
+  std::vector<Drawn> drawn;
+  std::vector<bool> rest(lines.size(), true);
+  double weight = 0;
+  for (const auto& line : lines) weight += line.weight;
+  std::size_t left = most;
+  for (bool again = lines.size() > most; again && left > 0;) {
+    again = false;
+    const double step = weight / static_cast<double>(left);
+    for (std::size_t k = 0; k < lines.size() && left > 0; ++k) {
+      if (!rest[k] || lines[k].weight < step * (1 - 1e-12)) continue;
+      drawn.push_back({k, lines[k].weight});
+      rest[k] = false, weight -= lines[k].weight, --left, again = true;
+      break;  // the step of the others has changed
+    }
+  }
+  if (lines.size() <= most) {
+    for (std::size_t k = 0; k < lines.size(); ++k) drawn.push_back({k, lines[k].weight});
+  } else if (left > 0 && weight > 0) {
+    const double step = weight / static_cast<double>(left);
+    systematic(lines, rest, step, phase, left, [&](std::size_t k) { drawn.push_back({k, step}); });
+  }
+  std::sort(drawn.begin(), drawn.end(), [](const Drawn& a, const Drawn& b) { return a.place < b.place; });
+  return drawn;
+}
+
+std::vector<std::size_t> draw_equal(const std::vector<Line>& lines, std::size_t most, double phase) {
+  std::vector<std::size_t> drawn;
+  double weight = 0, heaviest = 0;
+  for (const auto& line : lines) weight += line.weight, heaviest = std::max(heaviest, line.weight);
+  if (heaviest <= 0) return drawn;
+  // With more, the heaviest line would need two of the places, and an address is listed once.
+  const auto fit = static_cast<std::size_t>(std::max(1.0, std::floor(weight / heaviest + 1e-9)));
+  const std::size_t n = std::min(most, fit);
+  systematic(lines, std::vector<bool>(lines.size(), true), weight / static_cast<double>(n), phase, n,
+             [&](std::size_t k) { drawn.push_back(k); });
+  return drawn;
+}
+
+}  // namespace gorsemount::coordinator
--- /dev/null
+++ b/src/coordinator/groups.hpp
@@ -0,0 +1,41 @@
+// Decides whose clients ask: which group a source belongs to, when a group is in service, and its usual rate.
+#pragma once
+
+#include <deque>
+#include <map>
+
+#include "coordinator/types.hpp"
+
+namespace gorsemount::coordinator {
+
+// From a source to its group, by the longest prefix. Immutable once made.
+class GroupMap {
+ public:
+  explicit GroupMap(const Settings& settings);
+  [[nodiscard]] ProxyId of(const Address& source) const;
+  // Whether a resolver's word on its client's subnet counts; anyone else's could point at any group.
+  [[nodiscard]] bool trusts(const Address& resolver) const;
+
+ private:
+  std::map<unsigned, std::map<Address, ProxyId>, std::greater<>> by_length_;
+  std::vector<Prefix> trusted_;
+  ProxyId rest_;
+};
+
+// A group is in service from its first lookup until none came for a stated time.
+class Attendance {
+ public:
+  explicit Attendance(const Settings& settings) : s_{&settings} {}
+  [[nodiscard]] std::vector<Event> looked_up(Instant now, ProxyId group);
+  [[nodiscard]] std::vector<Event> leave_idle(Instant now);
+  void arrived(const std::vector<Event>& reports);  // the demand reports of one round
+  [[nodiscard]] const std::map<ProxyId, Instant>& present() const { return seen_; }
+  [[nodiscard]] double usual_rate(ProxyId group) const;
+
+ private:
+  const Settings* s_;
+  std::map<ProxyId, Instant> seen_;  // the last lookup
+  std::map<ProxyId, std::deque<double>> rates_;
+};
+
+}  // namespace gorsemount::coordinator
--- /dev/null
+++ b/src/coordinator/types.hpp
@@ -0,0 +1,162 @@
+// What the coordinator's core is told, and what it hands out. No I/O, no clock, no wire.
+#pragma once
+
+#include <compare>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/address.hpp"
+#include "policy/policy.hpp"
+
+namespace gorsemount::coordinator {
+
+struct OperationInfo {
+  std::string name;  // as in its DNS name
+  Effect effect = Effect::side_effecting;
+  Span latency_objective, integration_timeout;
+  double billed_value = 0;
+};
+
+// Clients that are led alike: what the module calls a proxy. Its place in the settings is its ProxyId.
+struct Group {
+  std::string name;
+  ZoneId zone;
+  std::vector<Prefix> sources;
+  double usual_rate = 0;  // invocations a second, till it is known better
+};
+
+struct Settings {
+  std::uint64_t seed = 0;
+  ZoneId zone;  // where this coordinator stands
+  std::vector<std::string> zones;
+  std::vector<OperationInfo> operations;
+  std::vector<Group> groups;              // the last one takes whoever fits nowhere else
+  std::vector<Prefix> trusted_resolvers;  // whose word on a client's subnet counts (RFC 7871)
+  bool levels = false;                    // admission levels are published
+  Span report_every, late_after;
+  double backlog = 0, lines_per_second = 0, per_message = 0;
+  int messages_most = 0;
+  Span messages_window;
+  double coordinators = 1;
+  Span keepalive;
+  Span unserved, drain_grace, cold_for;
+  bool removal_binds = true;
+  double cold_from = 0, tip_multiple = 0;
+  Span use_after;  // from a client's receipt of an answer to its last first use of it
+  Span lifetime_most, group_idle;
+  int lines_most = 0;      // of one SRV answer
+  int addresses_most = 0;  // of one A or AAAA answer
+};
+
+struct RosterEntry {
+  std::string name;
+  ZoneId zone;
+  Endpoint at;
+  double weight = 1;
+  Availability availability = Availability::ready;
+  std::uint32_t operations = ~0U;  // bit k: open to operation k
+  bool operator==(const RosterEntry&) const = default;
+};
+
+// A worker's own word on its load: counters since its start.
+struct LoadSample {
+  struct Count {
+    OperationId operation;
+    Prefix source;
+    std::uint64_t taken = 0, succeeded = 0, errored = 0, refused = 0;
+    double latency = 0;  // of the succeeded ones together, s
+  };
+  std::string boot;  // differs between two starts
+  double uptime = 0;  // s
+  bool draining = false;
+  std::optional<double> util, queue;
+  std::vector<Count> counts;
+};
+
+// ---- Inputs --------------------------------------------------------------------------------------------
+
+struct RosterHeard {
+  std::vector<RosterEntry> entries;  // the whole list
+};
+struct LoadHeard {
+  BackendId backend;
+  Instant asked;
+  LoadSample sample;
+};
+struct LoadMissing {
+  BackendId backend;
+  std::string why;
+};
+struct HealthHeard {
+  BackendId backend;
+  bool well = false;
+  Span took;
+};
+struct LookedUp {
+  ProxyId group;
+};
+// What a reload may change while state is kept: groups, lifetimes, sizes of answers.
+struct Retuned {
+  Settings settings;
+};
+using Input = std::variant<RosterHeard, LoadHeard, LoadMissing, HealthHeard, LookedUp, Retuned>;
+
+// ---- What is published: immutable, swapped whole --------------------------------------------------------
+
+struct Line {
+  BackendId backend;
+  double weight = 0;
+  bool operator==(const Line&) const = default;
+};
+struct Level {
+  FurtherTries tries = FurtherTries::after_proof;
+  double level = 1;
+  bool operator==(const Level&) const = default;
+};
+// What a group's clients are to use for an operation. Lines by backend, each above 0.
+struct View {
+  std::uint64_t version = 0;  // differs between any two views of one coordinator
+  OperationId operation;
+  std::vector<Line> lines;
+  Level level;
+};
+struct Known {
+  std::string name;
+  Endpoint at;
+  ZoneId zone;
+  bool open = true;  // may get new work: neither draining nor gone
+  bool operator==(const Known&) const = default;
+};
+struct Published {
+  std::uint64_t version = 0;
+  std::shared_ptr<const std::map<BackendId, Known>> directory;
+  std::vector<std::vector<std::shared_ptr<const View>>> views;  // by group, then by operation
+  Span lifetime;  // what an answer may be kept for
+};
+
+// ---- Effects -------------------------------------------------------------------------------------------
+
+// For the log: an event's name and what belongs to it.
+struct Note {
+  enum class Weight { info, warning } weight = Weight::info;
+  std::string event;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+// A message that left for a group's clients, for the records.
+struct Message {
+  ProxyId group;
+  double lines = 0;    // with its own overhead
+  double waiting = 0;  // in the channel, this message included
+};
+struct Effects {
+  std::shared_ptr<const Published> published;  // absent: as before
+  std::vector<Note> notes;
+  std::vector<Message> messages;
+  Instant wake_at;  // step again by then, even with no input
+};
+
+}  // namespace gorsemount::coordinator
--- /dev/null
+++ b/src/core/address.cpp
@@ -0,0 +1,78 @@
+#include "core/address.hpp"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace gorsemount {
+
+namespace {
+
+std::optional<unsigned> whole(std::string_view text, unsigned most) {
+  unsigned value = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (fault != std::errc{} || end != text.data() + text.size() || value > most) return {};
+  return value;
+}
+
+}  // namespace
+
+std::string Address::text() const {
+  char out[INET6_ADDRSTRLEN] = {};
+  return inet_ntop(v6 ? AF_INET6 : AF_INET, bytes.data(), out, sizeof out) != nullptr ? out : "";
+}
+
+std::optional<Address> Address::parse(const std::string& text) {
+  Address a;
+  if (inet_pton(AF_INET, text.c_str(), a.bytes.data()) == 1) return a;
+  if (inet_pton(AF_INET6, text.c_str(), a.bytes.data()) != 1) return {};
+  a.v6 = true;
+  constexpr std::array<std::uint8_t, 12> mapped{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
+  if (std::equal(mapped.begin(), mapped.end(), a.bytes.begin())) {
+    Address four;
+    std::copy_n(a.bytes.begin() + 12, 4, four.bytes.begin());
+    return four;
+  }
+  return a;
+}
+
+std::string Endpoint::text() const {
+  return (address.v6 ? "[" + address.text() + "]" : address.text()) + ":" + std::to_string(port);
+}
+
+std::optional<Endpoint> Endpoint::parse(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  std::string host = text.substr(0, colon);
+  const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) host = host.substr(1, host.size() - 2);
+  const auto address = Address::parse(host);
+  const auto port = whole(std::string_view{text}.substr(colon + 1), 65535);
+  if (!address || !port || *port == 0 || address->v6 != bracketed) return {};
+  return Endpoint{*address, static_cast<std::uint16_t>(*port)};
+}
+
+bool Prefix::covers(const Address& a) const { return a.v6 == address.v6 && masked(a, length) == address; }
+
+std::string Prefix::text() const { return address.text() + "/" + std::to_string(length); }
+
+std::optional<Prefix> Prefix::parse(const std::string& text) {
+  const auto slash = text.find('/');
+  const auto address = Address::parse(text.substr(0, slash));
+  if (!address) return {};
+  const auto length =
+      slash == std::string::npos ? address->bits() : whole(std::string_view{text}.substr(slash + 1), address->bits());
+  if (!length || masked(*address, *length) != *address) return {};
+  return Prefix{*address, *length};
+}
+
+Address masked(Address address, unsigned length) {
+  for (unsigned k = 0; k < 16; ++k) {
+    const unsigned keep = length >= 8 * (k + 1) ? 8 : length > 8 * k ? length - 8 * k : 0;
+    address.bytes[k] &= static_cast<std::uint8_t>(0xff00U >> keep);
+  }
+  return address;
+}
+
+}  // namespace gorsemount
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -12,7 +12,9 @@
   constexpr Span() = default;
 
   [[nodiscard]] static Span seconds(double s) { return Span{std::llround(s * 1e6)}; }
+  [[nodiscard]] static constexpr Span micros(std::int64_t n) { return Span{n}; }
   [[nodiscard]] constexpr double seconds() const { return static_cast<double>(micros_) / 1e6; }
+  [[nodiscard]] constexpr std::int64_t micros() const { return micros_; }
 
   constexpr auto operator<=>(const Span&) const = default;
   constexpr Span operator+(Span other) const { return Span{micros_ + other.micros_}; }
--- /dev/null
+++ b/src/hears/prober.cpp
@@ -0,0 +1,74 @@
+#include "hears/prober.hpp"
+
+#include <cmath>
+
+#include "hears/load_reply.hpp"
+
+namespace gorsemount::hears {
+
+namespace {
+
+constexpr std::size_t kReplyMost = 4U << 20U;  // twenty thousand counters, generously
+
+}  // namespace
+
+struct Prober::Asked {
+  Asked(net::Loop& loop, const Endpoint& to) : at{to}, loop_of{loop}, health{loop, to}, load{loop, to, {}, kReplyMost} {}
+  ~Asked() { loop_of.cancel(next_health), loop_of.cancel(next_load); }
+  Endpoint at;
+  net::Loop& loop_of;
+  net::HttpClient health, load;
+  net::Loop::Timer next_health, next_load;
+};
+
+Prober::Prober(net::Loop& loop, ProberSettings settings, Report report)
+    : loop_{loop}, s_{std::move(settings)}, report_{std::move(report)} {}
+Prober::~Prober() = default;
+
+void Prober::follow(const std::map<BackendId, Endpoint>& backends) {
+  std::erase_if(asked_, [&](const auto& row) {
+    const auto it = backends.find(row.first);
+    return it == backends.end() || it->second != row.second->at;
+  });
+  std::size_t place = 0;
+  for (const auto& [id, at] : backends) {
+    ++place;
+    auto& asked = asked_[id];
+    if (asked) continue;
+    asked = std::make_unique<Asked>(loop_, at);
+    // Golden steps spread any number of backends evenly over the interval.
+    const double phase = std::fmod(0.618034 * static_cast<double>(place), 1.0);
+    asked->next_load = loop_.after(Span::seconds(0.02 * phase), [this, id = id] { load(id); });
+    asked->next_health = loop_.after(s_.health_every * phase, [this, id = id] { health(id); });
+  }
+}
+
+void Prober::health(BackendId id) {
+  Asked& asked = *asked_.at(id);
+  asked.next_health = loop_.after(s_.health_every, [this, id] { health(id); });
+  if (asked.health.busy()) return;
+  asked.health.ask({"GET", s_.health_path, {}, {}, true}, s_.health_timeout, [this, id](net::HttpClient::Result r) {
+    const bool well = r.outcome == net::HttpClient::Outcome::answered && r.response.status == 200;
+    report_(coordinator::HealthHeard{id, well, r.took});
+  });
+}
+
+void Prober::load(BackendId id) {
+  Asked& asked = *asked_.at(id);
+  asked.next_load = loop_.after(s_.load_every, [this, id] { load(id); });
+  if (asked.load.busy()) return;
+  asked.load.ask({"GET", s_.load_path, {}, {}, true}, s_.load_timeout, [this, id](net::HttpClient::Result r) {
+    if (r.outcome != net::HttpClient::Outcome::answered)
+      return report_(coordinator::LoadMissing{id, net::name_of(r.outcome)});
+    if (r.response.status != 200)
+      return report_(coordinator::LoadMissing{id, "status " + std::to_string(r.response.status)});
+    auto read = read_load(r.response.body, s_.operations);
+    if (auto* sample = std::get_if<coordinator::LoadSample>(&read)) {
+      report_(coordinator::LoadHeard{id, r.asked, std::move(*sample)});
+    } else {
+      report_(coordinator::LoadMissing{id, std::get<std::string>(read)});
+    }
+  });
+}
+
+}  // namespace gorsemount::hears
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,107 @@
+#include "net/loop.hpp"
+
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <ctime>
+#include <system_error>
+
+namespace gorsemount::net {
+
+namespace {
+
+[[noreturn]] void fail(const char* what) { throw std::system_error{errno, std::generic_category(), what}; }
+
+}  // namespace
+
+Instant monotonic_now() {
+  timespec t{};
+  clock_gettime(CLOCK_MONOTONIC, &t);
+  return Instant{} + Span::micros(std::int64_t{t.tv_sec} * 1'000'000 + t.tv_nsec / 1000);
+}
+
+Loop::Loop() : epoll_{epoll_create1(EPOLL_CLOEXEC)}, now_{monotonic_now()} {
+  if (!epoll_) fail("epoll_create1");
+}
+
+void Loop::watch(int fd, std::uint32_t events, Handler handler) {
+  epoll_event e{};
+  e.events = events | EPOLLET;
+  e.data.fd = fd;
+  const bool known = handlers_.contains(fd);
+  if (epoll_ctl(epoll_.get(), known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &e) != 0) fail("epoll_ctl");
+  handlers_[fd] = std::make_shared<Handler>(std::move(handler));
+}
+
+void Loop::unwatch(int fd) {
+  if (handlers_.erase(fd) > 0) epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+}
+
+Loop::Timer Loop::at(Instant when, Task task) {
+  const Timer timer{when, ++timer_number_};
+  timers_.emplace(timer, std::move(task));
+  return timer;
+}
+
+void Loop::cancel(Timer& timer) {
+  if (timer.number != 0) timers_.erase(timer);
+  timer = {};
+}
+
+void Loop::on_signal(int signal, Task task) {
+  signals_[signal] = std::move(task);
+  sigset_t set;
+  sigemptyset(&set);
+  for (const auto& [number, unused] : signals_) sigaddset(&set, number);
+  if (sigprocmask(SIG_BLOCK, &set, nullptr) != 0) fail("sigprocmask");
+  const bool fresh = !signal_fd_;
+  const int fd = signalfd(signal_fd_.get(), &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (fd < 0) fail("signalfd");
+  if (!fresh) return;
+  signal_fd_ = Fd{fd};
+  watch(fd, EPOLLIN, [this](std::uint32_t) {
+    signalfd_siginfo info{};
+    while (read(signal_fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info))
+      if (const auto it = signals_.find(static_cast<int>(info.ssi_signo)); it != signals_.end()) it->second();
+  });
+}
+
+void Loop::turn() {
+  std::array<epoll_event, 128> ready;
+  int wait = -1;
+  now_ = monotonic_now();
+  if (!tasks_.empty()) {
+    wait = 0;
+  } else if (!timers_.empty()) {
+    const double left = (timers_.begin()->first.at - now_).seconds();
+    wait = static_cast<int>(std::clamp(left * 1000 + 0.999, 0.0, 60'000.0));
+  }
+  const int n = epoll_wait(epoll_.get(), ready.data(), static_cast<int>(ready.size()), wait);
+  if (n < 0 && errno != EINTR) fail("epoll_wait");
+  now_ = monotonic_now();
+  for (int k = 0; k < n && !stopped_; ++k) {
+    // A handler before this one may have let go of the descriptor.
+    const auto it = handlers_.find(ready[static_cast<std::size_t>(k)].data.fd);
+    if (it == handlers_.end()) continue;
+    const auto handler = it->second;
+    (*handler)(ready[static_cast<std::size_t>(k)].events);
+  }
+  while (!timers_.empty() && timers_.begin()->first.at <= now_ && !stopped_) {
+    const Task task = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    task();
+  }
+  const auto tasks = std::exchange(tasks_, {});
+  for (const auto& task : tasks) task();
+}
+
+void Loop::run() {
+  stopped_ = false;
+  while (!stopped_) turn();
+}
+
+}  // namespace gorsemount::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,357 @@
+#include "net/socket.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <system_error>
+#include <vector>
+
+namespace gorsemount::net {
+
+namespace {
+
+[[noreturn]] void fail(const std::string& what) { throw std::system_error{errno, std::generic_category(), what}; }
+
+struct SockAddr {
+  sockaddr_storage store{};
+  socklen_t size = 0;
+};
+
+SockAddr to_sockaddr(const Endpoint& e) {
+  SockAddr s;
+  if (e.address.v6) {
+    sockaddr_in6 a{};
+    a.sin6_family = AF_INET6, a.sin6_port = htons(e.port);
+    std::memcpy(&a.sin6_addr, e.address.bytes.data(), 16);
+    std::memcpy(&s.store, &a, s.size = sizeof a);
+  } else {
+    sockaddr_in a{};
+    a.sin_family = AF_INET, a.sin_port = htons(e.port);
+    std::memcpy(&a.sin_addr, e.address.bytes.data(), 4);
+    std::memcpy(&s.store, &a, s.size = sizeof a);
+  }
+  return s;
+}
+
+Endpoint to_endpoint(const sockaddr_storage& s) {
+  Endpoint e;
+  if (s.ss_family == AF_INET6) {
+    sockaddr_in6 a{};
+    std::memcpy(&a, &s, sizeof a);
+    e.address.v6 = true, e.port = ntohs(a.sin6_port);
+    std::memcpy(e.address.bytes.data(), &a.sin6_addr, 16);
+  } else {
+    sockaddr_in a{};
+    std::memcpy(&a, &s, sizeof a);
+    e.port = ntohs(a.sin_port);
+    std::memcpy(e.address.bytes.data(), &a.sin_addr, 4);
+  }
+  return e;
+}
+
+Fd make_socket(const Address& a, int type) {
+  Fd fd{::socket(a.v6 ? AF_INET6 : AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  if (!fd) fail("socket");
+  return fd;
+}
+
+void set(const Fd& fd, int level, int name, int value) { setsockopt(fd.get(), level, name, &value, sizeof value); }
+
+void bind_to(const Fd& fd, const Endpoint& at) {
+  const SockAddr s = to_sockaddr(at);
+  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&s.store), s.size) != 0) fail("bind " + at.text());
+}
+
+// The kernel's default holds some hundred datagrams; a burst of lookups at a change of tables is more.
+constexpr int kSocketBuffer = 4 << 20;
+constexpr int kTurns = 16;  // batches before the loop goes round: about a millisecond of answers
+
+}  // namespace
+
+Fd udp_socket(const Endpoint& at) {
+  Fd fd = make_socket(at.address, SOCK_DGRAM);
+  set(fd, SOL_SOCKET, SO_RCVBUF, kSocketBuffer), set(fd, SOL_SOCKET, SO_SNDBUF, kSocketBuffer);
+  bind_to(fd, at);
+  return fd;
+}
+
+struct UdpServer::Buffers {
+  std::array<std::array<std::uint8_t, kInMost>, kBatch> in;
+  std::array<std::array<std::uint8_t, kOutMost>, kBatch> out;
+  std::array<sockaddr_storage, kBatch> from;
+  std::array<iovec, kBatch> in_parts, out_parts;
+  std::array<mmsghdr, kBatch> in_heads, out_heads;
+};
+
+UdpServer::UdpServer(Loop& loop, const Endpoint& at, Answer answer)
+    : loop_{loop}, fd_{udp_socket(at)}, answer_{std::move(answer)}, buffers_{std::make_unique<Buffers>()} {
+  loop_.watch(fd_.get(), EPOLLIN, [this](std::uint32_t) { work(); });
+}
+
+UdpServer::~UdpServer() {
+  *alive_ = false;
+  loop_.unwatch(fd_.get());
+}
+
+Endpoint UdpServer::at() const {
+  sockaddr_storage s{};
+  socklen_t size = sizeof s;
+  getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&s), &size);
+  return to_endpoint(s);
+}
+
+bool UdpServer::batch() {
+  Buffers& b = *buffers_;
+  for (std::size_t k = 0; k < kBatch; ++k) {
+    b.in_parts[k] = {b.in[k].data(), kInMost};
+    b.in_heads[k] = {};
+    b.in_heads[k].msg_hdr.msg_iov = &b.in_parts[k], b.in_heads[k].msg_hdr.msg_iovlen = 1;
+    b.in_heads[k].msg_hdr.msg_name = &b.from[k], b.in_heads[k].msg_hdr.msg_namelen = sizeof b.from[k];
+  }
+  const int got = recvmmsg(fd_.get(), b.in_heads.data(), kBatch, MSG_DONTWAIT, nullptr);
+  if (got <= 0) return got < 0 && errno == EINTR;
+  unsigned n = 0;
+  for (std::size_t k = 0; k < static_cast<std::size_t>(got); ++k) {
+    // Cut off by the kernel: longer than any question may be, and not whole.
+    if ((b.in_heads[k].msg_hdr.msg_flags & MSG_TRUNC) != 0) continue;
+    const std::size_t size = answer_({b.in[k].data(), b.in_heads[k].msg_len}, to_endpoint(b.from[k]), b.out[n]);
+    if (size == 0) continue;
+    b.out_parts[n] = {b.out[n].data(), size};
+    b.out_heads[n] = {};
+    b.out_heads[n].msg_hdr.msg_iov = &b.out_parts[n], b.out_heads[n].msg_hdr.msg_iovlen = 1;
+    b.out_heads[n].msg_hdr.msg_name = &b.from[k];
+    b.out_heads[n].msg_hdr.msg_namelen = b.in_heads[k].msg_hdr.msg_namelen;
+    ++n;
+  }
+  for (unsigned at = 0; at < n;) {
+    const int sent = sendmmsg(fd_.get(), b.out_heads.data() + at, n - at, MSG_DONTWAIT);
+    if (sent > 0) {
+      at += static_cast<unsigned>(sent);
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      dropped_ += n - at;
+      break;
+    } else if (errno != EINTR) {
+      ++dropped_, ++at;  // this peer can't be reached; the next may
+    }
+  }
+  return got == static_cast<int>(kBatch);
+}
+
+void UdpServer::work() {
+  for (int k = 0; k < kTurns; ++k)
+    if (!batch()) return;
+  loop_.soon([this, alive = alive_] {
+    if (*alive) work();
+  });
+}
+
+void UdpServer::drain() {
+  for (int k = 0; k < kTurns && batch(); ++k) {
+  }
+}
+
+// ---- Connections ---------------------------------------------------------------------------------------
+
+Connection::Connection(Loop& loop, Fd fd, Limits limits, OnData on_data, OnClose on_close)
+    : loop_{loop},
+      fd_{std::move(fd)},
+      limits_{limits},
+      on_data_{std::move(on_data)},
+      on_close_{std::move(on_close)} {}
+
+std::shared_ptr<Connection> Connection::make(Loop& loop, Fd fd, Limits limits, OnData on_data, OnClose on_close) {
+  set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  std::shared_ptr<Connection> c{
+      new Connection{loop, std::move(fd), limits, std::move(on_data), std::move(on_close)}};
+  loop.watch(c->fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, [weak = std::weak_ptr{c}](std::uint32_t events) {
+    if (const auto strong = weak.lock()) strong->ready(events);
+  });
+  c->progress();
+  return c;
+}
+
+Connection::~Connection() { let_go(); }
+
+void Connection::let_go() {
+  if (!fd_) return;
+  loop_.cancel(idle_);
+  loop_.unwatch(fd_.get());
+  fd_.reset();
+}
+
+void Connection::close(const char* why) {
+  if (!fd_) return;
+  const auto keep = weak_from_this().lock();
+  let_go();
+  const auto tell = std::exchange(on_close_, {});
+  if (tell) tell(why);
+}
+
+void Connection::abort() {
+  if (!fd_) return;
+  const linger hard{1, 0};
+  setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  on_close_ = {};
+  let_go();
+}
+
+void Connection::progress() {
+  loop_.cancel(idle_);
+  idle_ = loop_.after(limits_.idle, [weak = weak_from_this()] {
+    if (const auto strong = weak.lock()) strong->close("idle");
+  });
+}
+
+void Connection::ready(std::uint32_t events) {
+  const auto keep = shared_from_this();
+  if ((events & EPOLLOUT) != 0) flush();
+  if (fd_ && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) read_all();
+}
+
+void Connection::read_all() {
+  if (reading_) return;
+  reading_ = true;
+  std::array<char, 16384> part;
+  while (fd_) {
+    if (unsent() > limits_.write_most / 2) {
+      paused_ = true;  // a peer that does not read its answers gets no more of them
+      break;
+    }
+    const ssize_t n = ::read(fd_.get(), part.data(), part.size());
+    if (n > 0) {
+      in_.append(part.data(), static_cast<std::size_t>(n));
+      offer();
+    } else if (n == 0) {
+      close("closed by the peer");
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
+      close("reset");
+    }
+  }
+  reading_ = false;
+}
+
+void Connection::offer() {
+  std::size_t used = 0;
+  while (fd_ && used < in_.size()) {
+    const std::size_t n = on_data_(std::string_view{in_}.substr(used));
+    if (n == 0) break;
+    used += n;
+  }
+  if (!fd_) return;
+  in_.erase(0, used);
+  if (used > 0) progress();
+  if (in_.size() > limits_.read_most) close("too much");
+}
+
+void Connection::send(std::string_view bytes) {
+  if (!fd_ || finishing_) return;
+  if (unsent() + bytes.size() > limits_.write_most) return close("not reading");
+  const bool idle = unsent() == 0;
+  out_.append(bytes);
+  if (idle) flush();
+}
+
+void Connection::flush() {
+  while (fd_ && unsent() > 0) {
+    const ssize_t n = ::send(fd_.get(), out_.data() + sent_, unsent(), MSG_NOSIGNAL);
+    if (n > 0) {
+      sent_ += static_cast<std::size_t>(n);
+      progress();
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
+      return close("reset");
+    }
+  }
+  if (!fd_) return;
+  if (unsent() == 0) {
+    out_.clear(), sent_ = 0;
+    if (finishing_) return close("finished");
+  } else if (sent_ > 65536) {
+    out_.erase(0, sent_), sent_ = 0;
+  }
+  if (paused_ && unsent() <= limits_.write_most / 2) {
+    paused_ = false;
+    loop_.soon([weak = weak_from_this()] {
+      if (const auto strong = weak.lock(); strong && strong->fd_) strong->offer(), strong->read_all();
+    });
+  }
+}
+
+void Connection::finish() {
+  finishing_ = true;
+  flush();
+}
+
+Listener::Listener(Loop& loop, const Endpoint& at, OnAccept on_accept) : loop_{loop} {
+  fd_ = make_socket(at.address, SOCK_STREAM);
+  set(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
+  bind_to(fd_, at);
+  if (::listen(fd_.get(), 512) != 0) fail("listen " + at.text());
+  loop_.watch(fd_.get(), EPOLLIN, [fd = fd_.get(), take = std::move(on_accept)](std::uint32_t) {
+    while (true) {
+      sockaddr_storage from{};
+      socklen_t size = sizeof from;
+      Fd got{accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC)};
+      if (got) {
+        take(std::move(got), to_endpoint(from));
+      } else if (errno != EINTR && errno != ECONNABORTED) {
+        return;  // none left, or no descriptor free: the next connection wakes it again
+      }
+    }
+  });
+}
+
+Listener::~Listener() { loop_.unwatch(fd_.get()); }
+
+std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
+                              std::function<void(Fd)> done) {
+  struct Attempt {
+    Loop& loop;
+    Fd fd;
+    ~Attempt() {
+      if (fd) loop.unwatch(fd.get());
+    }
+  };
+  auto attempt = std::make_shared<Attempt>(loop, Fd{});
+  const auto give = [&](Fd fd) {
+    loop.soon([weak = std::weak_ptr<Attempt>{attempt}, done, held = std::make_shared<Fd>(std::move(fd))] {
+      if (weak.lock()) done(std::move(*held));
+    });
+    return attempt;
+  };
+  try {
+    attempt->fd = make_socket(to.address, SOCK_STREAM);
+    if (from) {
+      set(attempt->fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+      bind_to(attempt->fd, {*from, 0});
+    }
+  } catch (const std::system_error&) {
+    return give(Fd{});
+  }
+  const SockAddr s = to_sockaddr(to);
+  const int code = ::connect(attempt->fd.get(), reinterpret_cast<const sockaddr*>(&s.store), s.size);
+  if (code == 0) return give(std::move(attempt->fd));
+  if (errno != EINPROGRESS) return give(Fd{});
+  loop.watch(attempt->fd.get(), EPOLLOUT, [weak = std::weak_ptr<Attempt>{attempt}, done](std::uint32_t) {
+    const auto strong = weak.lock();
+    if (!strong || !strong->fd) return;
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    getsockopt(strong->fd.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
+    strong->loop.unwatch(strong->fd.get());
+    Fd fd = std::move(strong->fd);
+    done(fault == 0 ? std::move(fd) : Fd{});
+  });
+  return attempt;
+}
+
+}  // namespace gorsemount::net
