--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 // The program `gorsemount`: subcommands and exit codes.
 #include <CLI/CLI.hpp>
 
+#include "app/day.hpp"
 #include "app/exit_codes.hpp"
 #include "app/serve.hpp"
 
@@ -24,6 +25,19 @@
   explain_command->add_option("CONFIG", file, "settings (HCL)")->required();
   explain_command->callback([&] { code = explain_config(file); });
 
+  DayOptions playing;
+  bool no_baseline = false;
+  auto* day_command = app.add_subcommand("day", "play a scripted day on loopback and judge the rules");
+  day_command->add_option("DAY", playing.day, "the day (HCL)")->required();
+  day_command->add_option("--folder", playing.folder, "keep records, settings and logs here");
+  day_command->add_flag("--no-baseline", no_baseline, "do not play it under fixed weights beside");
+  day_command->add_flag("--quiet", playing.quiet, "no live line");
+  day_command->add_option("--octet", playing.octet, "second byte of the loopback addresses")->check(CLI::Range(10, 180));
+  day_command->callback([&] {
+    playing.baseline = !no_baseline;
+    code = day(playing);
+  });
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& fault) {
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -15,22 +15,18 @@
 
 }  // namespace
 
-Records::Records(const std::string& file) {
+Records::Records(const std::string& file, std::string coordinator) : coordinator_{std::move(coordinator)} {
   if (file.empty()) return;
   file_.reset(std::fopen(file.c_str(), "ae"));
   if (!file_) throw std::system_error{errno, std::generic_category(), "records file " + file};
   std::setvbuf(file_.get(), nullptr, _IOLBF, 4096);  // whole lines, whenever the process is killed
+  fmt::print(file_.get(), "{{\"t\":{},\"what\":\"coordinator_start\",\"coordinator\":\"{}\"}}\n", micros_now(), coordinator_);
 }
 
 void Records::message(const coordinator::Message& m) {
   if (!file_) return;
-  fmt::print(file_.get(), "{{\"t\":{},\"what\":\"message\",\"group\":{},\"lines\":{}}}\n", micros_now(), m.group.value,
-             m.lines);
-}
-
-void Records::published(const coordinator::Published& p) {
-  if (!file_) return;
-  fmt::print(file_.get(), "{{\"t\":{},\"what\":\"published\",\"version\":{}}}\n", micros_now(), p.version);
+  fmt::print(file_.get(), "{{\"t\":{},\"what\":\"message\",\"coordinator\":\"{}\",\"group\":{},\"lines\":{}}}\n",
+             micros_now(), coordinator_, m.group.value, m.lines);
 }
 
 }  // namespace gorsemount::app
--- a/src/app/records.hpp
+++ b/src/app/records.hpp
@@ -11,14 +11,14 @@
 
 class Records {
  public:
-  explicit Records(const std::string& file);  // none if empty; throws std::system_error
+  Records(const std::string& file, std::string coordinator);  // none if empty; throws std::system_error
   void message(const coordinator::Message& message);
-  void published(const coordinator::Published& published);
 
  private:
   struct Close {
     void operator()(std::FILE* f) const { std::fclose(f); }
   };
+  std::string coordinator_;
   std::unique_ptr<std::FILE, Close> file_;
 };
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -52,7 +52,7 @@
       : s_{std::move(settings)},
         options_{std::move(options)},
         log_{s_.name, s_.log_level, s_.log_file},
-        records_{s_.records_file},
+        records_{s_.records_file, s_.name},
         core_{s_.core, options_.fixed ? coordinator::fixed_weights() : coordinator::module_of(s_.core)},
         front_{front_settings(s_), core_.group_map()},
         prober_{loop_,
@@ -111,10 +111,7 @@
 
   void step() {
     const auto effects = core_.step(net::monotonic_now(), std::exchange(inputs_, {}));
-    if (effects.published) {
-      front_.publish(effects.published, core_.group_map());
-      records_.published(*effects.published);
-    }
+    if (effects.published) front_.publish(effects.published, core_.group_map());
     for (const auto& m : effects.messages) records_.message(m);
     for (const auto& n : effects.notes)
       log_.event(n.weight == coordinator::Note::Weight::warning ? log::Level::warning : log::Level::info, n.event,
--- /dev/null
+++ b/src/standins/day.cpp
@@ -0,0 +1,220 @@
+#include "standins/day.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace gorsemount::standins {
+
+namespace {
+
+const Span kHour = Span::seconds(3600);
+
+Span some(config::Section& in, const char* name, std::optional<double> otherwise) {
+  return in.span(name, otherwise ? std::optional{Span::seconds(*otherwise)} : std::nullopt, Span{}, kHour);
+}
+
+config::Section section_of(const hcl::Block& b, const config::Section& root) {
+  return {b.body, b.at, b.labels.empty() ? b.type : b.type + "." + b.labels[0].first, *root.findings()};
+}
+
+Address loopback(unsigned a, unsigned b, unsigned c) {
+  Address address;
+  address.bytes = {127, static_cast<std::uint8_t>(a), static_cast<std::uint8_t>(b), static_cast<std::uint8_t>(c)};
+  return address;
+}
+
+void read_fleet(config::Section& root, Day& day) {
+  const auto zone_in = [&](config::Section& in) { return day.zones[in.word("zone", day.zones, std::nullopt)]; };
+  for (const auto* b : root.blocks("operation", 1)) {
+    config::Section in = section_of(*b, root);
+    DayOperation op;
+    op.name = b->labels[0].first;
+    const std::vector<std::string> effects{"idempotent", "fingerprinted", "side-effecting"};
+    op.effect = effects[in.word("effect", effects, std::nullopt)];
+    op.share = in.number("share", 1, {0, 1e6});
+    op.work = some(in, "work", std::nullopt);
+    op.latency_objective = some(in, "latency_objective", std::nullopt);
+    op.integration_timeout = some(in, "integration_timeout", std::nullopt);
+    op.billed_value = in.number("billed_value", 1, {0, 1e6});
+    in.done();
+    day.operations.push_back(op);
+  }
+  for (const auto* b : root.blocks("workers", 1)) {
+    config::Section in = section_of(*b, root);
+    DayWorkers w;
+    w.zone = zone_in(in);
+    w.count = static_cast<int>(in.number("count", std::nullopt, {1, 250, true}));
+    w.cores = in.number("cores", 2, {1, 256, true}), w.speed = in.number("speed", 1, {0.01, 100});
+    w.queue_most = static_cast<int>(in.number("queue_most", 64, {0, 100000, true}));
+    in.done();
+    day.workers.push_back(w);
+  }
+  for (const auto* b : root.blocks("clients", 1)) {
+    config::Section in = section_of(*b, root);
+    DayClients c;
+    c.zone = zone_in(in);
+    c.count = static_cast<int>(in.number("count", std::nullopt, {1, 250, true}));
+    c.rate = in.number("rate", 1, {0, 1000}, "invocations/s"), c.by_address = in.number("by_address", 0, {0, 1});
+    c.disobedient = static_cast<int>(in.number("disobedient", 0, {0, 250, true}));
+    in.done();
+    day.clients.push_back(c);
+  }
+  for (const auto* b : root.blocks("coordinator", 1)) {
+    config::Section in = section_of(*b, root);
+    day.coordinators.push_back(zone_in(in));
+    in.done();
+  }
+}
+
+void read_script(config::Section& root, Day& day) {
+  for (const auto* b : root.blocks("phase", 1)) {
+    config::Section in = section_of(*b, root);
+    Phase p{b->labels[0].first, some(in, "at", std::nullopt), in.number("rate", 1, {0, 100})};
+    if (!day.phases.empty() && p.at <= day.phases.back().at)
+      in.fault(in.place("at"), "phases are to stand in the order of time");
+    in.done();
+    day.phases.push_back(p);
+  }
+  const std::vector<std::string> kinds{"crash", "hang", "errors", "slow", "silent", "refuse", "drain"};
+  for (const auto* b : root.blocks("trouble", 1)) {
+    config::Section in = section_of(*b, root);
+    Trouble t;
+    t.name = b->labels[0].first;
+    t.kind = static_cast<TroubleKind>(in.word("kind", kinds, std::nullopt));
+    std::vector<std::string> zones = day.zones;
+    zones.emplace_back("");
+    t.zone = zones[in.word("zone", zones, zones.size() - 1)];
+    t.at = some(in, "at", std::nullopt), t.lasts = some(in, "lasts", std::nullopt);
+    t.count = static_cast<int>(in.number("count", 0, {0, 250, true}));
+    t.part = in.number("part", 1, {0, 1}), t.size = in.number("size", 1, {0, 1000});
+    in.done();
+    day.troubles.push_back(t);
+  }
+  std::vector<std::string> names;
+  for (std::size_t k = 0; k < day.coordinators.size(); ++k) names.push_back("pwani-" + std::to_string(k + 1));
+  for (const auto* b : root.blocks("kill", 1)) {
+    config::Section in = section_of(*b, root);
+    if (names.empty()) break;
+    if (std::find(names.begin(), names.end(), b->labels[0].first) == names.end())
+      in.fault(b->labels[0].second, fmt::format("no coordinator is called \"{}\"; known here: {}",
+                                                b->labels[0].first, fmt::join(names, ", ")));
+    day.kills.push_back({b->labels[0].first, some(in, "at", std::nullopt), some(in, "lasts", std::nullopt)});
+    in.done();
+  }
+}
+
+}  // namespace
+
+Day read_day(const std::string& text, const std::string& file, config::Findings& findings) {
+  findings.file = file;
+  Day day;
+  const hcl::Body body = hcl::parse(text, file, findings.faults);
+  if (!findings.faults.empty()) return day;
+  config::Section root{body, {1, 1}, "", findings};
+  for (const auto* b : root.blocks("zone", 1)) day.zones.push_back(b->labels[0].first), section_of(*b, root).done();
+  if (day.zones.empty() || day.zones.size() > 8) {
+    root.fault(root.at(), "expected 1 to 8 zones");
+    return day;
+  }
+  config::Section in = root.only("day");
+  day.name = in.text("name", "day"), day.origin = in.text("origin", "refill.pwani.test");
+  day.seed = static_cast<std::uint64_t>(in.number("seed", 1, {0, 1e15, true}));
+  day.length = in.span("length", std::nullopt, Span::seconds(1), Span::seconds(120));
+  day.settle = some(in, "settle", 3);
+  in.done();
+  config::Section rules = root.only("rules");
+  day.drain_grace = some(rules, "drain_grace", 5), day.unserved = some(rules, "unserved", 3);
+  day.cold_for = some(rules, "cold_for", 10), day.tip_after = some(rules, "tip_after", 2);
+  day.cold_from = rules.number("cold_from", 0.2, {0.01, 1}), day.tip_multiple = rules.number("tip_multiple", 3, {1, 100});
+  day.backlog = rules.number("backlog", 2000, {1, 1e9}, "lines");
+  day.lines_per_second = rules.number("lines_per_second", 2000, {1, 1e9}, "lines/s");
+  day.messages_most = static_cast<int>(rules.number("messages_most", 30, {0, 1e6, true}));
+  day.messages_window = some(rules, "messages_window", 10);
+  day.levels = rules.flag("levels", false);
+  rules.done();
+  read_fleet(root, day);
+  read_script(root, day);
+  config::Section unsafe = root.only("unsafe");
+  day.unsafe.repeat_all = unsafe.flag("repeat_all", false);
+  day.unsafe.drain_untold = unsafe.flag("drain_untold", false);
+  day.unsafe.fixed_weights = unsafe.flag("fixed_weights", false);
+  day.unsafe.backlog_judged = unsafe.number("backlog_judged", 0, {0, 1e9}, "lines");
+  unsafe.done();
+  if (day.operations.empty() || day.workers.empty() || day.clients.empty() || day.coordinators.empty())
+    root.fault(root.at(), "expected at least one block each of: operation, workers, clients, coordinator");
+  if (day.phases.empty()) day.phases.push_back({"day", Span{}, 1});
+  root.done();
+  return day;
+}
+
+Endpoint Places::worker(std::size_t zone, std::size_t number) const {
+  return {loopback(octet, static_cast<unsigned>(zone + 1), static_cast<unsigned>(number)), 9000};
+}
+Address Places::client(std::size_t zone, std::size_t number) const {
+  return loopback(octet + 1 + static_cast<unsigned>(zone), 0, static_cast<unsigned>(number));
+}
+Endpoint Places::coordinator(std::size_t number) const {
+  return {loopback(octet, 0, static_cast<unsigned>(number)), 5300};
+}
+Prefix Places::clients_of(std::size_t zone) const {
+  return {loopback(octet + 1 + static_cast<unsigned>(zone), 0, 0), 16};
+}
+
+std::string worker_name(const Day& day, std::size_t zone, std::size_t number) {
+  return day.zones[zone] + "-" + std::to_string(number);
+}
+
+std::vector<RosterLine> roster_of(const Day& day, const Places& places) {
+  std::vector<RosterLine> lines;
+  std::vector<std::size_t> numbers(day.zones.size(), 0);
+  for (const auto& w : day.workers) {
+    const auto zone = static_cast<std::size_t>(std::find(day.zones.begin(), day.zones.end(), w.zone) - day.zones.begin());
+    for (int k = 0; k < w.count; ++k) {
+      const std::size_t n = ++numbers[zone];
+      lines.push_back({worker_name(day, zone, n), w.zone, places.worker(zone, n), w.cores * w.speed, false});
+    }
+  }
+  return lines;
+}
+
+std::string roster_text(const std::vector<RosterLine>& lines) {
+  std::string text;
+  for (const auto& l : lines)
+    text += fmt::format("backend \"{}\" {{\n  zone = \"{}\"\n  address = \"{}\"\n  weight = {}\n  state = \"{}\"\n}}\n",
+                        l.name, l.zone, l.at.text(), l.weight, l.draining ? "draining" : "ready");
+  return text;
+}
+
+std::string coordinator_settings(const Day& day, const Places& places, std::size_t number, const std::string& folder) {
+  const auto s = [](Span span) { return fmt::format("{}ms", span.micros() / 1000); };
+  std::string text = fmt::format(
+      "coordinator {{\n  name = \"pwani-{}\"\n  zone = \"{}\"\n  coordinators = {}\n  seed = {}\n  levels = \"{}\"\n}}\n",
+      number, day.coordinators[number - 1], day.coordinators.size(), day.seed * 100 + number,
+      day.levels ? "share" : "off");
+  for (const auto& zone : day.zones) text += fmt::format("zone \"{}\" {{}}\n", zone);
+  for (const auto& op : day.operations)
+    text += fmt::format("operation \"{}\" {{\n  effect = \"{}\"\n  latency_objective = \"{}\"\n"
+                        "  integration_timeout = \"{}\"\n  billed_value = {}\n}}\n",
+                        op.name, op.effect, s(op.latency_objective), s(op.integration_timeout), op.billed_value);
+  text += fmt::format("rules {{\n  unserved = \"{}\"\n  drain_grace = \"{}\"\n  cold_from = {}\n  cold_for = \"{}\"\n"
+                      "  tip_multiple = {}\n}}\n",
+                      s(day.unserved), s(day.drain_grace), day.cold_from, s(day.cold_for), day.tip_multiple);
+  text += fmt::format("channel {{\n  backlog = {}\n  lines_per_second = {}\n  messages_most = {}\n"
+                      "  messages_window = \"{}\"\n}}\n",
+                      day.backlog, day.lines_per_second, day.messages_most, s(day.messages_window));
+  text += fmt::format("dns {{\n  origin = \"{}\"\n  listen = \"{}\"\n}}\n", day.origin, places.coordinator(number).text());
+  for (std::size_t z = 0; z < day.zones.size(); ++z) {
+    double rate = 0;
+    for (const auto& c : day.clients)
+      if (c.zone == day.zones[z]) rate += c.rate * c.count;
+    text += fmt::format("group \"{}-clinics\" {{\n  zone = \"{}\"\n  sources = [\"{}\"]\n  usual_rate = {}\n}}\n",
+                        day.zones[z], day.zones[z], places.clients_of(z).text(), rate);
+  }
+  text += fmt::format("roster {{\n  file = \"{0}/roster.hcl\"\n}}\nlog {{\n  file = \"{0}/pwani-{1}.log\"\n"
+                      "  records = \"{0}/pwani-{1}.records\"\n}}\n",
+                      folder, number);
+  return text;
+}
+
+}  // namespace gorsemount::standins
--- /dev/null
+++ b/src/standins/day.hpp
@@ -0,0 +1,108 @@
+// A scripted day: who is there, what comes, what goes wrong and when. One HCL file, read by the program that
+// plays it and by the stand-ins alike.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/reader.hpp"
+#include "core/address.hpp"
+#include "core/time.hpp"
+
+namespace gorsemount::standins {
+
+struct DayOperation {
+  std::string name, effect;
+  double share = 1;
+  Span work, latency_objective, integration_timeout;
+  double billed_value = 1;
+  [[nodiscard]] bool may_repeat() const { return effect == "idempotent"; }
+};
+struct DayWorkers {
+  std::string zone;
+  int count = 0;
+  double cores = 2;
+  double speed = 1;
+  int queue_most = 64;  // more waiting are refused before they begin
+};
+struct DayClients {
+  std::string zone;
+  int count = 0;
+  double rate = 1;       // invocations a second, each
+  double by_address = 0; // the part that looks up addresses in place of SRV records
+  int disobedient = 0;   // that keep answers ten times too long
+};
+struct Phase {
+  std::string name;
+  Span at;
+  double rate = 1;  // times the usual
+};
+enum class TroubleKind { crash, hang, errors, slow, silent, refuse, drain };
+struct Trouble {
+  std::string name, zone;  // zone empty: all
+  TroubleKind kind = TroubleKind::crash;
+  Span at, lasts;
+  int count = 0;      // workers of the zone, the first that are well; 0: by part
+  double part = 1;
+  double size = 1;    // errors: part that errors; slow: times slower
+};
+struct Kill {
+  std::string coordinator;
+  Span at, lasts;
+};
+// Guards that a test switches off, so that the auditor has something to find.
+struct Unsafe {
+  bool repeat_all = false;     // clients repeat whatever failed
+  bool drain_untold = false;   // the roster never says that a worker drains
+  bool fixed_weights = false;  // the coordinator does not decide
+  double backlog_judged = 0;   // the auditor's limit, where it is to differ; 0: the settings'
+};
+
+struct Day {
+  std::string name, origin;
+  std::uint64_t seed = 1;
+  Span length, settle;  // settle: at the end no new work comes
+  std::vector<std::string> zones;
+  std::vector<DayOperation> operations;
+  std::vector<DayWorkers> workers;
+  std::vector<DayClients> clients;
+  std::vector<Phase> phases;
+  std::vector<Trouble> troubles;
+  std::vector<std::string> coordinators;  // zones they stand in; the name is pwani-N in order
+  std::vector<Kill> kills;
+  Span drain_grace, cold_for, unserved, tip_after;
+  double cold_from = 0.2, tip_multiple = 3, backlog = 4000, lines_per_second = 4000;
+  int messages_most = 0;
+  Span messages_window;
+  bool levels = false;
+  Unsafe unsafe;
+};
+
+// Reads a day; faults go to `findings`, and the day is only of use without any.
+[[nodiscard]] Day read_day(const std::string& text, const std::string& file, config::Findings& findings);
+
+// Where things stand on loopback. `octet`: the second byte of all addresses of one run, 10 to 200; runs whose
+// octets differ by 10 or more don't meet.
+struct Places {
+  unsigned octet = 10;
+  [[nodiscard]] Endpoint worker(std::size_t zone, std::size_t number) const;  // 127.octet.zone+1.number
+  [[nodiscard]] Address client(std::size_t zone, std::size_t number) const;   // 127.octet+1+zone.0.number
+  [[nodiscard]] Endpoint coordinator(std::size_t number) const;               // 127.octet.0.number
+  [[nodiscard]] Prefix clients_of(std::size_t zone) const;
+};
+
+[[nodiscard]] std::string worker_name(const Day& day, std::size_t zone, std::size_t number);
+// The settings file of one coordinator, and the roster.
+[[nodiscard]] std::string coordinator_settings(const Day& day, const Places& places, std::size_t number,
+                                               const std::string& folder);
+struct RosterLine {
+  std::string name, zone;
+  Endpoint at;
+  double weight = 1;
+  bool draining = false;
+};
+[[nodiscard]] std::string roster_text(const std::vector<RosterLine>& lines);
+[[nodiscard]] std::vector<RosterLine> roster_of(const Day& day, const Places& places);
+
+}  // namespace gorsemount::standins
--- /dev/null
+++ b/src/standins/play.cpp
@@ -0,0 +1,159 @@
+#include "standins/play.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+
+#include "standins/client.hpp"
+#include "standins/worker.hpp"
+
+namespace gorsemount::standins {
+
+namespace {
+
+class Stage {
+ public:
+  Stage(const Day& day, const PlayOptions& options)
+      : day_{day}, o_{options}, recorder_{options.folder + "/fleet.records"}, roster_{roster_of(day, options.places)} {}
+
+  void run() {
+    write_roster();
+    make_workers();
+    for (std::size_t k = 0; k < day_.coordinators.size(); ++k) servers_.push_back(o_.places.coordinator(k + 1));
+    // Clients come once the coordinators have had time to bind.
+    loop_.at(o_.start, [this] { make_clients(); });
+    for (const auto& p : day_.phases)
+      loop_.at(o_.start + p.at, [this, &p] {
+        recorder_.write(loop_.now(), "phase", {{"name", p.name}, {"rate", p.rate}});
+        phase_ = p.name;
+        for (auto& c : clients_) c->pace(p.rate);
+      });
+    for (const auto& t : day_.troubles) loop_.at(o_.start + t.at, [this, &t] { strike(t); });
+    loop_.at(o_.start + day_.length - day_.settle, [this] {
+      for (auto& c : clients_) c->pace(0);
+    });
+    loop_.at(o_.start + day_.length, [this] { loop_.stop(); });
+    if (o_.show) loop_.at(o_.start + Span::seconds(1), [this] { show(); });
+    loop_.run();
+  }
+
+ private:
+  void write_roster() const {
+    const std::string file = o_.folder + "/roster.hcl";
+    std::ofstream{file + ".new"} << roster_text(roster_);
+    std::filesystem::rename(file + ".new", file);
+  }
+
+  void make_workers() {
+    std::map<std::string, std::size_t> numbers;
+    for (const auto& w : day_.workers) {
+      const auto zone =
+          static_cast<std::size_t>(std::find(day_.zones.begin(), day_.zones.end(), w.zone) - day_.zones.begin());
+      for (int k = 0; k < w.count; ++k) {
+        const std::size_t n = ++numbers[w.zone];
+        WorkerSettings s{worker_name(day_, zone, n), w.zone, o_.places.worker(zone, n), w.cores, w.speed, w.queue_most,
+                         day_.operations, day_.drain_grace, day_.cold_for, day_.tip_after, day_.cold_from,
+                         day_.tip_multiple};
+        workers_.push_back(std::make_unique<Worker>(loop_, recorder_, std::move(s),
+                                                    day_.seed * 1000 + workers_.size(), false));
+      }
+    }
+  }
+
+  void make_clients() {
+    std::map<std::string, std::size_t> numbers;
+    for (const auto& c : day_.clients) {
+      const auto zone =
+          static_cast<std::size_t>(std::find(day_.zones.begin(), day_.zones.end(), c.zone) - day_.zones.begin());
+      for (int k = 0; k < c.count; ++k) {
+        const std::size_t n = ++numbers[c.zone];
+        ClientSettings s{fmt::format("{}-clinic-{}", c.zone, n), c.zone, day_.origin, o_.places.client(zone, n), servers_,
+                         day_.operations, c.rate, k < c.by_address * c.count, k >= c.disobedient, day_.unsafe.repeat_all};
+        // Half of the clients ask one coordinator first, half the other.
+        std::rotate(s.servers.begin(), s.servers.begin() + static_cast<std::ptrdiff_t>(n % servers_.size()),
+                    s.servers.end());
+        clients_.push_back(std::make_unique<Client>(loop_, recorder_, std::move(s),
+                                                    day_.seed * 100000 + clients_.size()));
+      }
+    }
+  }
+
+  void strike(const Trouble& t) {
+    std::vector<Worker*> in_zone, struck;
+    for (auto& w : workers_)
+      if (t.zone.empty() || w->settings().zone == t.zone) in_zone.push_back(w.get());
+    const auto n = t.count > 0 ? static_cast<std::size_t>(t.count)
+                               : static_cast<std::size_t>(t.part * static_cast<double>(in_zone.size()) + 0.5);
+    for (auto* w : in_zone)
+      if (struck.size() < n && w->well()) struck.push_back(w);
+    for (auto* w : struck) {
+      recorder_.write(loop_.now(), "trouble", {{"name", t.name}, {"worker", w->settings().name}});
+      if (t.kind == TroubleKind::crash) {
+        w->crash();
+      } else {
+        w->trouble(t.kind, t.kind == TroubleKind::errors ? t.part : t.size);
+      }
+      if (t.kind == TroubleKind::drain) drain(*w, true);
+    }
+    loop_.after(t.lasts, [this, &t, struck] {
+      for (auto* w : struck) {
+        recorder_.write(loop_.now(), "over", {{"name", t.name}, {"worker", w->settings().name}});
+        if (t.kind == TroubleKind::drain) drain(*w, false);
+        if (t.kind == TroubleKind::crash) {
+          w->start();
+        } else {
+          w->recover();
+        }
+      }
+    });
+  }
+
+  void drain(Worker& worker, bool on) {
+    for (auto& line : roster_)
+      if (line.name == worker.settings().name) line.draining = on && !day_.unsafe.drain_untold;
+    recorder_.write(loop_.now(), on ? "told_draining" : "told_ready", {{"worker", worker.settings().name}});
+    write_roster();
+  }
+
+  // Weights by zone as a client of the first zone is told them.
+  void show() {
+    if (!watcher_)
+      watcher_ = std::make_unique<Resolver>(loop_, o_.places.client(0, 251), servers_, Span::seconds(0.3), 9000);
+    if (!watcher_->busy())
+      watcher_->ask("_" + day_.operations.back().name + "._tcp." + day_.origin, true, [this](const Answer& answer) {
+        std::map<std::string, double> weights;
+        double all = 0;
+        for (const auto& t : answer.targets)
+          for (const auto& line : roster_)
+            if (line.at == t.at) weights[line.zone] += t.weight, all += t.weight;
+        std::string text = fmt::format("{:5.1f} s  {:<12}", (loop_.now() - o_.start).seconds(), phase_);
+        for (const auto& zone : day_.zones)
+          text += fmt::format("  {} {:5.1f}%", zone, all > 0 ? 100 * weights[zone] / all : 0);
+        const auto up = std::count_if(workers_.begin(), workers_.end(), [](const auto& w) { return w->well(); });
+        std::printf("%s  lines %2zu  workers well %2td of %zu\n", text.c_str(), answer.targets.size(), up, workers_.size());
+        std::fflush(stdout);
+      });
+    loop_.after(Span::seconds(1), [this] { show(); });
+  }
+
+  const Day& day_;
+  const PlayOptions& o_;
+  net::Loop loop_;
+  Recorder recorder_;
+  std::vector<RosterLine> roster_;
+  std::vector<Endpoint> servers_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::vector<std::unique_ptr<Client>> clients_;
+  std::unique_ptr<Resolver> watcher_;
+  std::string phase_;
+};
+
+}  // namespace
+
+void play(const Day& day, const PlayOptions& options) { Stage{day, options}.run(); }
+
+}  // namespace gorsemount::standins
