--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -56,7 +56,7 @@
         core_{s_.core, options_.fixed ? coordinator::fixed_weights() : coordinator::module_of(s_.core)},
         front_{front_settings(s_), core_.group_map()},
         prober_{loop_,
-                {s_.health_path, s_.load_path, s_.health_every, s_.health_timeout, s_.load_every, s_.load_timeout,
+                {s_.health_path, s_.load_path, s_.health_every, s_.health_again, s_.health_timeout, s_.load_every, s_.load_timeout,
                  s_.core.operations},
                 [this](Input input) { take(std::move(input)); }},
         seen_(s_.core.groups.size()) {}
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -199,6 +199,7 @@
   Section hears = root.only("hears");
   s.health_path = hears.text("health_path", "/health");
   s.health_every = hears.span("health_every", ms(250), ms(20), Span::seconds(60));
+  s.health_again = hears.span("health_again", ms(60), ms(5), Span::seconds(60));
   s.health_timeout = hears.span("health_timeout", ms(800), ms(20), Span::seconds(60));
   s.load_path = hears.text("load_path", "/load");
   s.load_every = hears.span("load_every", s.core.report_every, ms(20), Span::seconds(60));
@@ -231,7 +232,7 @@
     text += fmt::format("|{} {} {} {} {}", op.name, static_cast<int>(op.effect), op.billed_value,
                         span_text(op.latency_objective), span_text(op.integration_timeout));
   for (const Span span : {c.unserved, c.drain_grace, c.cold_for, c.use_after, c.keepalive, c.messages_window,
-                          c.late_after, s.health_every, s.health_timeout, s.load_every, s.load_timeout, s.tcp_idle,
+                          c.late_after, s.health_every, s.health_again, s.health_timeout, s.load_every, s.load_timeout, s.tcp_idle,
                           s.dns.negative_for})
     text += "|" + span_text(span);
   text += fmt::format("|{} {} {} {} {} {} {}|{} {} {}", c.removal_binds, c.cold_from, c.tip_multiple, c.backlog,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -29,7 +29,7 @@
   std::string roster_file;
   Span roster_every;
   std::string health_path, load_path;
-  Span health_every, health_timeout, load_every, load_timeout;
+  Span health_every, health_again, health_timeout, load_every, load_timeout;
   std::string log_level, log_file, records_file;
 };
 
--- a/src/hears/prober.cpp
+++ b/src/hears/prober.cpp
@@ -39,20 +39,25 @@
     // Golden steps spread any number of backends evenly over the interval.
     const double phase = std::fmod(0.618034 * static_cast<double>(place), 1.0);
     asked->next_load = loop_.after(Span::seconds(0.02 * phase), [this, id = id] { load(id); });
-    asked->next_health = loop_.after(s_.health_every * phase, [this, id = id] { health(id); });
+    health_in(id, s_.health_every * phase);
   }
 }
 
 void Prober::health(BackendId id) {
-  Asked& asked = *asked_.at(id);
-  asked.next_health = loop_.after(s_.health_every, [this, id] { health(id); });
-  if (asked.health.busy()) return;
-  asked.health.ask({"GET", s_.health_path, {}, {}, true}, s_.health_timeout, [this, id](net::HttpClient::Result r) {
+  asked_.at(id)->health.ask({"GET", s_.health_path, {}, {}, true}, s_.health_timeout, [this, id](net::HttpClient::Result r) {
     const bool well = r.outcome == net::HttpClient::Outcome::answered && r.response.status == 200;
+    // One failed call proves little: more follow soon, so that the next round can tell.
+    health_in(id, well ? std::max(Span{}, s_.health_every - r.took) : s_.health_again);
     report_(coordinator::HealthHeard{id, well, r.took});
   });
 }
 
+void Prober::health_in(BackendId id, Span wait) {
+  Asked& asked = *asked_.at(id);
+  loop_.cancel(asked.next_health);
+  asked.next_health = loop_.after(wait, [this, id] { health(id); });
+}
+
 void Prober::load(BackendId id) {
   Asked& asked = *asked_.at(id);
   asked.next_load = loop_.after(s_.load_every, [this, id] { load(id); });
--- a/src/hears/prober.hpp
+++ b/src/hears/prober.hpp
@@ -13,7 +13,7 @@
 
 struct ProberSettings {
   std::string health_path, load_path;
-  Span health_every, health_timeout, load_every, load_timeout;
+  Span health_every, health_again, health_timeout, load_every, load_timeout;
   std::vector<coordinator::OperationInfo> operations;
 };
 
@@ -31,6 +31,7 @@
  private:
   struct Asked;
   void health(BackendId id);
+  void health_in(BackendId id, Span wait);
   void load(BackendId id);
 
   net::Loop& loop_;
--- a/src/standins/play.cpp
+++ b/src/standins/play.cpp
@@ -94,7 +94,7 @@
       recorder_.write(loop_.now(), "trouble", {{"name", t.name}, {"worker", w->settings().name}});
       if (t.kind == TroubleKind::crash) {
         w->crash();
-      } else {
+      } else if (t.kind != TroubleKind::drain || !day_.unsafe.drain_untold) {
         w->trouble(t.kind, t.kind == TroubleKind::errors ? t.part : t.size);
       }
       if (t.kind == TroubleKind::drain) drain(*w, true);
--- /dev/null
+++ b/tests/days/short.hcl
@@ -0,0 +1,76 @@
+# Month end in small: a crash, a drain, a hang, a killed coordinator; every rule is kept.
+day {
+  name   = "short"
+  length = "16s"
+  settle = "2s"
+}
+rules {
+  drain_grace = "3s"
+  unserved    = "2s"
+  cold_for    = "4s"
+  tip_after   = "1s"
+}
+zone "kariakoo" {}
+zone "ubungo" {}
+operation "refill-check" {
+  effect              = "idempotent"
+  share               = 2
+  work                = "120ms"
+  latency_objective   = "1s"
+  integration_timeout = "2s"
+}
+operation "place-order" {
+  effect              = "side-effecting"
+  share               = 1
+  work                = "120ms"
+  latency_objective   = "1s"
+  integration_timeout = "2s"
+  billed_value        = 3
+}
+coordinator "pwani-1" { zone = "kariakoo" }
+coordinator "pwani-2" { zone = "ubungo" }
+workers "kariakoo" {
+  zone  = "kariakoo"
+  count = 3
+}
+workers "ubungo" {
+  zone  = "ubungo"
+  count = 3
+}
+clients "kariakoo" {
+  zone        = "kariakoo"
+  count       = 6
+  rate        = 2.5
+  by_address  = 0.3
+  disobedient = 1
+}
+clients "ubungo" {
+  zone  = "ubungo"
+  count = 6
+  rate  = 2.5
+}
+trouble "crash" {
+  kind  = "crash"
+  zone  = "kariakoo"
+  at    = "2s"
+  lasts = "2s"
+  count = 1
+}
+trouble "drain" {
+  kind  = "drain"
+  zone  = "ubungo"
+  at    = "3s"
+  lasts = "6s"
+  count = 1
+}
+trouble "hang" {
+  kind  = "hang"
+  zone  = "kariakoo"
+  at    = "7s"
+  lasts = "3s"
+  count = 1
+}
+kill "pwani-1" {
+  at    = "5s"
+  lasts = "2s"
+}
