Take a machine that refuses connections as proof that its worker is gone

Need: when a whole site crashed, its workers stayed in answers for up to 6 s: the module's bounds on judgements held them in. Cause: a refused connection came to it as one errored try among others. Change: two refusals in a row count as a fact, told to the module as 'gone', unless over half of the fleet refuses; a worker that answers again is told with its new start.

--- a/examples/month-end.hcl
+++ b/examples/month-end.hcl
@@ -116,7 +116,7 @@
 }
 trouble "drain" {
   kind  = "drain"
-  zone  = "kariakoo"
+  zone  = "mikocheni"
   at    = "16s"
   lasts = "16s"
   count = 1
--- a/src/app/day.cpp
+++ b/src/app/day.cpp
@@ -149,6 +149,11 @@
   for (const auto& v : a.verdicts)
     std::printf("%s\n", fmt::format("  {:<34} {:<6} {:>9.3f} of {:>9.3f} {:<24} {}", v.rule, v.kept ? "kept" : "BROKEN",
                                     v.worst, v.limit, v.unit, v.detail).c_str());
+  for (const auto& [what, r] : {std::pair{"a worker's crash to the first list without it", &a.crash_to_answer},
+                                {"a worker's crash to the last list with it", &a.crash_to_last},
+                                {"a drain to the last invocation sent there", &a.drain_to_last}})
+    if (!r->seconds.empty())
+      std::printf("  from %-46s %7.3f s in the middle, %7.3f s at worst, of %zu\n", what, r->middle(), r->worst(), r->seconds.size());
   if (a.disobedient_refused > 0)
     std::printf("  %llu invocations of clients that disobey were refused by draining workers before they began\n",
                 static_cast<unsigned long long>(a.disobedient_refused));
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -151,7 +151,7 @@
     std::map<BackendId, Endpoint> asked;
     for (const auto& [name, at] : names)
       if (const auto id = core_.id_of(name)) asked[*id] = at;
-    prober_.follow(asked);
+    if (!options_.fixed) prober_.follow(asked);  // a plain zone file asks nobody
     log_.event(log::Level::info, "roster_read", {{"backends", std::to_string(n)}});
   }
 
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gorsemount::coordinator {
 
@@ -13,6 +14,8 @@
 // part of the time that rule 1 allows: without its start a cold one would pass for warm.
 constexpr double kIntroduction = 0.4;
 
+const Span kForget = Span::seconds(600);  // above any client's caching that we heard of
+
 OperationId op_at(std::size_t k) { return OperationId{static_cast<std::uint8_t>(k)}; }
 
 const char* name_of(Availability a) {
@@ -83,8 +86,8 @@
   for (const auto& [id, row] : rows_)
     if (row.listed) lost.insert(id);
   for (const auto& entry : e.entries) {
-    const auto [it, unknown] =
-        ids_.try_emplace(entry.name, BackendId{static_cast<std::uint32_t>(ids_.size() + 1)});
+    const auto [it, unknown] = ids_.try_emplace(entry.name, BackendId{next_id_});
+    next_id_ += unknown ? 1 : 0;
     lost.erase(it->second);
     auto [row, fresh] = rows_.try_emplace(it->second, Row{entry, now_, true, {}, {}});
     if (!fresh && !(row->second.entry.at == entry.at && row->second.listed)) {
@@ -93,10 +96,29 @@
       row->second.first_seen = now_;
       row->second.learned = now_;
     }
-    dirty_ = dirty_ || fresh || !(row->second.entry == entry);
+    if (fresh || !row->second.listed || !(row->second.entry == entry)) touched_.insert(it->second), dirty_ = restand_ = true;
+    if (!row->second.told) untold_.insert(it->second);
     row->second.entry = entry, row->second.listed = true;
   }
-  for (const auto id : lost) rows_.at(id).listed = false;
+  listed_ = e.entries.size();
+  for (const auto id : lost) rows_.at(id).listed = false, touched_.insert(id);
+  for (const auto id : std::set<BackendId>{absent_}) heed_absence(id);
+  forget_old();
+}
+
+// What left the list long ago is forgotten, so that names that come and go for ever take no more memory.
+void Coordinator::forget_old() {
+  for (auto it = rows_.begin(); it != rows_.end();) {
+    const auto& [id, row] = *it;
+    if (row.listed || now_ - row.learned < kForget) {
+      ++it;
+      continue;
+    }
+    ids_.erase(row.entry.name), doubts_.erase(id), unheard_.erase(id), untold_.erase(id), touched_.erase(id);
+    evidence_.forget(id);
+    it = rows_.erase(it);
+    dirty_ = restand_ = true;
+  }
 }
 
 void Coordinator::absorb(const LoadHeard& e) {
@@ -104,6 +126,8 @@
   if (row == rows_.end() || !row->second.listed) return;
   const Doubt doubt = evidence_.load(now_, e.backend, e.asked, e.sample);
   unheard_.erase(e.backend);
+  touched_.insert(e.backend);
+  if (absent_.contains(e.backend)) heed_absence(e.backend);
   counters_.doubted += doubt == Doubt::none ? 0 : 1;
   Doubt& last = doubts_[e.backend];
   if (doubt != last)
@@ -120,7 +144,10 @@
 
 void Coordinator::absorb(const HealthHeard& e) {
   const auto row = rows_.find(e.backend);
-  if (row != rows_.end() && row->second.listed) evidence_.health(e.backend, e.well, e.took);
+  if (row == rows_.end() || !row->second.listed) return;
+  const bool was = evidence_.absent(e.backend);
+  evidence_.health(e.backend, e.health, e.took);
+  if (evidence_.absent(e.backend) != was) heed_absence(e.backend);
 }
 
 void Coordinator::absorb(const LookedUp& e) {
@@ -147,15 +174,41 @@
   note(Note::Weight::info, "retuned", {{"groups", std::to_string(s_.groups.size())}});
 }
 
+// A machine that refuses connections has no such process: a fact, which no bound on judgements need hold back.
+// But a view in which over half of the fleet has gone is likelier wrong than the fleet, so it is not acted on.
+void Coordinator::heed_absence(BackendId backend) {
+  const auto row = rows_.find(backend);
+  if (row != rows_.end() && row->second.listed && evidence_.absent(backend)) {
+    absent_.insert(backend);
+  } else {
+    absent_.erase(backend);
+  }
+  touched_.insert(backend);
+  const bool counts = absent_.size() * 2 <= listed_;
+  if (counts == absence_counts_) return;
+  absence_counts_ = counts;
+  touched_.insert(absent_.begin(), absent_.end());
+  note(Note::Weight::warning, counts ? "absence_heeded" : "absence_not_believed",
+       {{"refusing", std::to_string(absent_.size())}, {"listed", std::to_string(listed_)}});
+}
+
 // Tells the module what changed between what it was last told of the list and what is known now.
 void Coordinator::tell_list() {
   Listed listed{listed_once_ ? ListScope::changes : ListScope::whole, {}};
-  for (auto& [id, row] : rows_) {
-    const bool known = evidence_.introduced(id) ||
-                       now_ - row.first_seen >= s_.unserved * kIntroduction || row.told.has_value();
-    if (!known) continue;
+  touched_.insert(untold_.begin(), untold_.end());
+  for (const auto id : std::exchange(touched_, {})) {
+    Row& row = rows_.at(id);
+    const bool back = row.told && row.told->availability == Availability::gone;  // told anew, as if unknown
+    if (absence_counts_ && absent_.contains(id)) row.first_seen = now_;
+    const bool known = evidence_.introduced(id) || now_ - row.first_seen >= s_.unserved * kIntroduction ||
+                       (row.told.has_value() && !back);
+    if (!known && (row.listed || !row.told)) {
+      if (row.listed) untold_.insert(id);
+      continue;
+    }
+    untold_.erase(id);
     Listed::Entry entry{id, row.entry.zone, row.entry.availability, row.entry.weight, {}};
-    if (!row.listed) {
+    if (!row.listed || (absence_counts_ && absent_.contains(id))) {
       entry.availability = Availability::gone;
     } else if (evidence_.draining(id) && entry.availability == Availability::ready) {
       entry.availability = Availability::draining;
@@ -177,7 +230,7 @@
             {"cold", entry.started && now_ - *entry.started < s_.cold_for ? "yes" : "no"}});
     row.told = entry;
     listed.entries.push_back(entry);
-    dirty_ = true;
+    dirty_ = restand_ = true;
   }
   if (listed.entries.empty()) return;
   listed_once_ = true;
@@ -240,9 +293,15 @@
 // and no view is empty while a warm backend is listed ready (rule 1). Neither costs a line in the channel,
 // since fronts read views.
 void Coordinator::publish() {
-  std::vector<std::vector<Line>> stand;
-  for (std::size_t k = 0; k < s_.operations.size(); ++k) stand.push_back(standing(op_at(k)));
-  if (stand != standing_) standing_ = std::move(stand), dirty_ = true;
+  if (std::exchange(restand_, false) || (next_warm_ && now_ >= *next_warm_)) {
+    std::vector<std::vector<Line>> stand;
+    for (std::size_t k = 0; k < s_.operations.size(); ++k) stand.push_back(standing(op_at(k)));
+    if (stand != standing_) standing_ = std::move(stand), dirty_ = true;
+    next_warm_.reset();
+    for (const auto& [id, row] : rows_)
+      if (row.told && !warm(row))
+        next_warm_ = std::min(next_warm_.value_or(Instant{} + Span::micros(INT64_MAX)), *row.told->started + s_.cold_for);
+  }
   if (!dirty_) return;
   dirty_ = false;
   std::map<BackendId, Known> directory;
@@ -332,6 +391,7 @@
 
   out_.wake_at = *round_at_;
   if (!timers_.empty()) out_.wake_at = std::min(out_.wake_at, timers_.begin()->first);
+  if (next_warm_) out_.wake_at = std::min(out_.wake_at, *next_warm_);
   if (const auto arrival = channel_.next_arrival()) out_.wake_at = std::min(out_.wake_at, *arrival);
   return std::move(out_);
 }
--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -73,6 +73,8 @@
   void absorb(const HealthHeard& e);
   void absorb(const LookedUp& e);
   void absorb(const Retuned& e);
+  void forget_old();
+  void heed_absence(BackendId backend);
   void tell_list();
   void apply(const std::vector<Order>& orders);
   void publish();
@@ -92,8 +94,17 @@
   Effects out_;
   std::map<std::string, BackendId> ids_;
   std::map<BackendId, Row> rows_;
+  std::uint32_t next_id_ = 1;
   std::map<BackendId, Doubt> doubts_;    // the last of each, so that only a change is logged
   std::set<BackendId> unheard_;          // whose load did not come the last time
+  // A step looks at those that something was heard of, not at the fleet: steps come by the hundred a second.
+  std::set<BackendId> touched_;
+  std::set<BackendId> untold_;           // listed, and the module does not know yet
+  std::set<BackendId> absent_;           // whose machine refuses connections
+  std::size_t listed_ = 0;
+  bool absence_counts_ = true;
+  std::optional<Instant> next_warm_;     // when the standing lines next change by themselves
+  bool restand_ = true;                  // or at once
   std::multimap<Instant, TimerTag> timers_;
   std::optional<Instant> round_at_;
   std::map<TableId, Table> tables_;      // as ordered
--- a/src/coordinator/evidence.cpp
+++ b/src/coordinator/evidence.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::size_t kHistory = 64;  // samples of `taken`: at two a second, longer than any timeout we met
 
+// One refused connection may fall into a restart's gap that is over at once; with a second, asked for a little
+// later, it is a fact. A cut or slow link does not refuse, it is silent: that stays for the module to judge.
+constexpr int kRefusals = 2;
+
 // Figures that can't be, whatever the worker: a queue is no fraction below 0, processors no more than whole.
 bool in_range(const LoadSample& s) {
   const auto fits = [](const std::optional<double>& v, double most) {
@@ -57,6 +61,7 @@
     if (sample.uptime + 1e-3 < row.last->uptime) return Doubt::went_back;
   }
   row.draining = sample.draining;
+  row.refused = 0;  // whatever listens there now has answered
   // A load that travelled long tells of another time; counters only ever grow and stay true.
   if (now - asked > s_.late_after) doubt = Doubt::late;
   if (contradicts(sample)) doubt = Doubt::contradicting;
@@ -105,14 +110,23 @@
   }
 }
 
-void Evidence::health(BackendId backend, bool well, Span took) {
-  Tally& tally = rows_[backend].tallies[s_.zone];
+void Evidence::health(BackendId backend, Health health, Span took) {
+  Row& row = rows_[backend];
+  Tally& tally = row.tallies[s_.zone];
   tally.tries += 1;
-  if (well) {
+  if (health == Health::well) {
     tally.waited += took.seconds();
   } else {
     tally.errored += 1;
   }
+  row.refused = health == Health::refused ? row.refused + 1 : 0;
+  // What it said of itself was another process's word.
+  if (row.refused >= kRefusals) row.last.reset(), row.counted.clear(), row.history.clear(), row.given_up = 0;
+}
+
+bool Evidence::absent(BackendId backend) const {
+  const auto row = rows_.find(backend);
+  return row != rows_.end() && row->second.refused >= kRefusals;
 }
 
 void Evidence::forget(BackendId backend) { rows_.erase(backend); }
--- a/src/coordinator/evidence.hpp
+++ b/src/coordinator/evidence.hpp
@@ -22,13 +22,15 @@
   // Of a load reply; what of it is doubted. A reply may be partly of use: figures out of range void the load,
   // not the counts.
   Doubt load(Instant now, BackendId backend, Instant asked, const LoadSample& sample);
-  void health(BackendId backend, bool well, Span took);
+  void health(BackendId backend, Health health, Span took);
   void forget(BackendId backend);
 
   // When its process started, as far as it matters: absent if unknown or long ago.
   [[nodiscard]] std::optional<Instant> started(BackendId backend) const;
   [[nodiscard]] bool draining(BackendId backend) const;
-  // Has said when it started.
+  // Its process is gone, whatever a list says: its machine refuses connections, several times in a row.
+  [[nodiscard]] bool absent(BackendId backend) const;
+  // Has said when it started, since it was last absent.
   [[nodiscard]] bool introduced(BackendId backend) const;
 
   // Everything since the last call, as the module's report lines.
@@ -48,6 +50,7 @@
     std::map<Source, Counts> counted;  // as in `last`
     std::optional<Instant> started;
     bool draining = false;
+    int refused = 0;  // connections in a row
     std::optional<double> busy;
     std::map<ZoneId, Tally> tallies;                       // since the last round
     std::map<std::pair<ProxyId, OperationId>, int> taken;  // since the last round
--- a/src/coordinator/types.hpp
+++ b/src/coordinator/types.hpp
@@ -91,9 +91,10 @@
   BackendId backend;
   std::string why;
 };
+enum class Health { well, failed, refused };  // refused: nothing listens at its address
 struct HealthHeard {
   BackendId backend;
-  bool well = false;
+  Health health = Health::failed;
   Span took;
 };
 struct LookedUp {
--- a/src/hears/prober.cpp
+++ b/src/hears/prober.cpp
@@ -45,10 +45,14 @@
 
 void Prober::health(BackendId id) {
   asked_.at(id)->health.ask({"GET", s_.health_path, {}, {}, true}, s_.health_timeout, [this, id](net::HttpClient::Result r) {
-    const bool well = r.outcome == net::HttpClient::Outcome::answered && r.response.status == 200;
+    using Outcome = net::HttpClient::Outcome;
+    const bool well = r.outcome == Outcome::answered && r.response.status == 200;
+    const auto health = well                             ? coordinator::Health::well
+                        : r.outcome == Outcome::refused ? coordinator::Health::refused
+                                                        : coordinator::Health::failed;
     // One failed call proves little: more follow soon, so that the next round can tell.
     health_in(id, well ? std::max(Span{}, s_.health_every - r.took) : s_.health_again);
-    report_(coordinator::HealthHeard{id, well, r.took});
+    report_(coordinator::HealthHeard{id, health, r.took});
   });
 }
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <sstream>
 
 namespace gorsemount::net {
@@ -144,7 +145,7 @@
 template class HttpReader<Response>;
 
 const char* name_of(HttpClient::Outcome outcome) {
-  constexpr const char* names[] = {"answered", "no connection", "connection lost", "no answer in time",
+  constexpr const char* names[] = {"answered", "connection refused", "no connection", "connection lost", "no answer in time",
                                    "not understood"};
   return names[static_cast<std::size_t>(outcome)];
 }
@@ -168,13 +169,13 @@
     sent_ = true;
     connection_->send(bytes_);
   } else {
-    attempt_ = connect(loop_, to_, from_, [this](Fd fd) { connected_as(std::move(fd)); });
+    attempt_ = connect(loop_, to_, from_, [this](Fd fd, int fault) { connected_as(std::move(fd), fault); });
   }
 }
 
-void HttpClient::connected_as(Fd fd) {
+void HttpClient::connected_as(Fd fd, int fault) {
   attempt_.reset();
-  if (!fd) return end(Outcome::no_connection);
+  if (!fd) return end(fault == ECONNREFUSED ? Outcome::refused : Outcome::no_connection);
   reader_ = HttpReader<Response>{body_most_};
   connection_ = Connection::make(
       loop_, std::move(fd), {body_most_ + 16384, 4U << 20U, Span::seconds(120)},
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -56,7 +56,8 @@
 // connection, so that a late answer is never taken for the next one's.
 class HttpClient {
  public:
-  enum class Outcome { answered, no_connection, reset, timed_out, garbled };
+  // refused: the machine says that nothing listens there; no_connection: none stood for another reason.
+  enum class Outcome { answered, refused, no_connection, reset, timed_out, garbled };
   struct Result {
     Outcome outcome = Outcome::answered;
     Response response;
@@ -78,7 +79,7 @@
   [[nodiscard]] bool connected() const { return connection_ && connection_->open(); }
 
  private:
-  void connected_as(Fd fd);
+  void connected_as(Fd fd, int fault);
   void end(Outcome outcome, std::string why = {});
   std::size_t data(std::string_view bytes);
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -313,7 +313,7 @@
 Listener::~Listener() { loop_.unwatch(fd_.get()); }
 
 std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
-                              std::function<void(Fd)> done) {
+                              std::function<void(Fd, int)> done) {
   struct Attempt {
     Loop& loop;
     Fd fd;
@@ -322,9 +322,9 @@
     }
   };
   auto attempt = std::make_shared<Attempt>(loop, Fd{});
-  const auto give = [&](Fd fd) {
-    loop.soon([weak = std::weak_ptr<Attempt>{attempt}, done, held = std::make_shared<Fd>(std::move(fd))] {
-      if (weak.lock()) done(std::move(*held));
+  const auto give = [&](Fd fd, int fault) {
+    loop.soon([weak = std::weak_ptr<Attempt>{attempt}, done, fault, held = std::make_shared<Fd>(std::move(fd))] {
+      if (weak.lock()) done(std::move(*held), fault);
     });
     return attempt;
   };
@@ -334,13 +334,13 @@
       set(attempt->fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
       bind_to(attempt->fd, {*from, 0});
     }
-  } catch (const std::system_error&) {
-    return give(Fd{});
+  } catch (const std::system_error& fault) {
+    return give(Fd{}, fault.code().value());
   }
   const SockAddr s = to_sockaddr(to);
   const int code = ::connect(attempt->fd.get(), reinterpret_cast<const sockaddr*>(&s.store), s.size);
-  if (code == 0) return give(std::move(attempt->fd));
-  if (errno != EINPROGRESS) return give(Fd{});
+  if (code == 0) return give(std::move(attempt->fd), 0);
+  if (errno != EINPROGRESS) return give(Fd{}, errno);
   loop.watch(attempt->fd.get(), EPOLLOUT, [weak = std::weak_ptr<Attempt>{attempt}, done](std::uint32_t) {
     const auto strong = weak.lock();
     if (!strong || !strong->fd) return;
@@ -349,7 +349,7 @@
     getsockopt(strong->fd.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
     strong->loop.unwatch(strong->fd.get());
     Fd fd = std::move(strong->fd);
-    done(fault == 0 ? std::move(fd) : Fd{});
+    done(fault == 0 ? std::move(fd) : Fd{}, fault);
   });
   return attempt;
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -105,10 +105,10 @@
   Fd fd_;
 };
 
-// Begins a connection; `done` gets it once it stands, or an empty one. Returns a handle that cancels it.
-// `from`: the source address, where it matters.
+// Begins a connection; `done` gets it once it stands, or an empty one and the errno that says why not. Returns a
+// handle that cancels it. `from`: the source address, where it matters.
 [[nodiscard]] std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
-                                            std::function<void(Fd)> done);
+                                            std::function<void(Fd, int fault)> done);
 
 // A bound non-blocking UDP socket. Throws std::system_error.
 [[nodiscard]] Fd udp_socket(const Endpoint& at);
--- a/src/standins/auditor.cpp
+++ b/src/standins/auditor.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <set>
 
 namespace gorsemount::standins {
@@ -191,8 +192,58 @@
   }
 }
 
+void react(const std::vector<Record>& records, Audit& audit) {
+  struct Down {
+    std::int64_t since = 0;
+    std::optional<std::int64_t> first_without, last_with;
+  };
+  std::map<std::string, std::string> place;
+  std::map<std::string, Down> down;  // by address
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> draining;  // by worker: told, last sent
+  std::map<std::string, bool> obeys;
+  const auto settle = [&](const Down& d) {
+    if (d.first_without) audit.crash_to_answer.seconds.push_back(seconds(*d.first_without - d.since));
+    if (d.last_with) audit.crash_to_last.seconds.push_back(seconds(*d.last_with - d.since));
+  };
+  for (const auto& r : records) {
+    if (r.what == "start") {
+      place[r.text("worker")] = r.text("at");
+      if (const auto it = down.find(r.text("at")); it != down.end()) settle(it->second), down.erase(it);
+    } else if (r.what == "down") {
+      down[place[r.text("worker")]] = {r.t, {}, {}};
+    } else if (r.what == "lookup" && r.fields.value("srv", false) && r.number("lines") > 0) {
+      for (auto& [at, d] : down) {
+        const auto& listed = r.fields.at("listed");
+        const bool with = std::find(listed.begin(), listed.end(), at) != listed.end();
+        if (with) d.last_with = r.t;
+        if (!with && !d.first_without) d.first_without = r.t;
+      }
+    } else if (r.what == "told_draining") {
+      draining[r.text("worker")] = {r.t, r.t};
+    } else if (r.what == "told_ready") {
+      if (const auto it = draining.find(r.text("worker")); it != draining.end()) {
+        audit.drain_to_last.seconds.push_back(seconds(it->second.second - it->second.first));
+        draining.erase(it);
+      }
+    } else if (r.what == "sent") {
+      obeys[r.text("id")] = r.fields.value("obeys", true);
+    } else if (r.what == "arrived" && obeys[r.text("id")]) {
+      if (const auto it = draining.find(r.text("worker")); it != draining.end()) it->second.second = r.t;
+    }
+  }
+  for (const auto& [at, d] : down) settle(d);
+}
+
 }  // namespace
 
+double Reaction::middle() const {
+  if (seconds.empty()) return 0;
+  std::vector<double> sorted = seconds;
+  std::sort(sorted.begin(), sorted.end());
+  return sorted[sorted.size() / 2];
+}
+double Reaction::worst() const { return seconds.empty() ? 0 : *std::max_element(seconds.begin(), seconds.end()); }
+
 bool Audit::kept() const {
   return std::all_of(verdicts.begin(), verdicts.end(), [](const Verdict& v) { return v.kept; });
 }
@@ -205,6 +256,7 @@
   a.verdicts.push_back(cold(day, records));
   channel(day, records, a.verdicts);
   count(day, records, a);
+  react(records, a);
   return a;
 }
 
--- a/src/standins/auditor.hpp
+++ b/src/standins/auditor.hpp
@@ -22,7 +22,16 @@
   std::uint64_t invocations = 0, late = 0, errored = 0, limited = 0, no_line = 0;
   [[nodiscard]] double service() const { return asked > 0 ? in_time / asked : 1; }
 };
+// How long something took to show, s: by the middle one and the slowest.
+struct Reaction {
+  std::vector<double> seconds;
+  [[nodiscard]] double middle() const;
+  [[nodiscard]] double worst() const;
+};
 struct Audit {
+  Reaction crash_to_answer;  // from a worker's crash to the first list without it that a client got
+  Reaction crash_to_last;    // and to the last list with it, before it came back
+  Reaction drain_to_last;    // from the telling of a drain to the last invocation that an obedient client sent
   std::vector<Verdict> verdicts;
   Count whole;
   std::map<std::string, Count> by_operation;
--- a/src/standins/client.cpp
+++ b/src/standins/client.cpp
@@ -70,9 +70,11 @@
   resolvers_[operation]->ask(name, !s_.by_address, [this, operation, began = loop_.now()](Answer answer) {
     Cache& to = caches_[operation];
     to.asking = false;
+    auto listed = nlohmann::ordered_json::array();
+    for (const auto& t : answer.targets) listed.push_back(t.at.text());
     recorder_.write(loop_.now(), "lookup",
                     {{"client", s_.name}, {"zone", s_.zone}, {"operation", s_.operations[operation].name},
-                     {"lines", answer.targets.size()}, {"answered", answer.answered},
+                     {"lines", answer.targets.size()}, {"listed", std::move(listed)}, {"srv", !s_.by_address}, {"answered", answer.answered},
                      {"limited", answer.unavailable}, {"lifetime", answer.lifetime.seconds()},
                      {"took", (loop_.now() - began).seconds()}});
     const auto waiting = std::exchange(to.waiting, {});
@@ -148,7 +150,7 @@
   if (result.outcome == net::HttpClient::Outcome::answered && result.response.status == 200)
     return done(number, took <= op.latency_objective ? "succeeded" : "late");
   // Proof that it never ran: no connection stood, or the worker says so.
-  const bool proof = result.outcome == net::HttpClient::Outcome::no_connection || !result.sent ||
+  const bool proof = !result.sent ||
                      (result.outcome == net::HttpClient::Outcome::answered &&
                       result.response.header("Never-Ran") != nullptr);
   const bool may = proof || op.may_repeat() || s_.repeat_all;
--- a/src/standins/resolver.cpp
+++ b/src/standins/resolver.cpp
@@ -141,7 +141,7 @@
 }
 
 void Resolver::over_tcp() {
-  attempt_ = net::connect(loop_, servers_[(first_ + tried_) % servers_.size()], from_, [this](net::Fd fd) {
+  attempt_ = net::connect(loop_, servers_[(first_ + tried_) % servers_.size()], from_, [this](net::Fd fd, int) {
     attempt_.reset();
     if (!fd) return;
     tcp_ = net::Connection::make(
--- a/src/standins/worker.cpp
+++ b/src/standins/worker.cpp
@@ -35,7 +35,7 @@
   boot_ = fmt::format("{}-{}-{}", s_.name, ++boots_, (started_ - Instant{}).micros());
   counts_.clear(), brought_.clear(), busy_log_.clear(), busy_ = 0;
   listen();
-  recorder_.write(loop_.now(), "start", {{"worker", s_.name}, {"cold", boots_ > 1}, {"cores", s_.cores * s_.speed}});
+  recorder_.write(loop_.now(), "start", {{"worker", s_.name}, {"at", s_.at.text()}, {"cold", boots_ > 1}, {"cores", s_.cores * s_.speed}});
 }
 
 void Worker::listen() {
--- a/tests/coordinator/coordinator_test.cpp
+++ b/tests/coordinator/coordinator_test.cpp
@@ -22,6 +22,31 @@
   EXPECT_EQ(rig.weight(0, 5), 1);
 }
 
+TEST(Coordinator, AMachineThatRefusesConnectionsHasNoSuchWorker) {
+  Rig rig{12};
+  rig.seconds(5);
+  for (const unsigned k : {0U, 3U, 4U, 6U, 9U}) rig.made[k].down = rig.made[k].refuses = true;  // 5 of 12, a zone among them
+  rig.seconds(0.3);
+  for (const unsigned k : {0U, 3U, 4U, 6U, 9U}) EXPECT_EQ(rig.weight(0, k), 0) << "no bound on judgements holds back a fact";
+  rig.restart(4, "second");
+  rig.seconds(1);
+  EXPECT_LE(rig.weight(0, 4), 0.3) << "cold, though its health calls are answered";
+  rig.seconds(25);
+  EXPECT_EQ(rig.weight(0, 4), 1);
+}
+
+TEST(Coordinator, AViewInWhichMostOfTheFleetRefusesIsNotBelieved) {
+  Rig rig{12};
+  rig.seconds(5);
+  for (unsigned k = 0; k < 12; ++k) rig.made[k].down = rig.made[k].refuses = true;
+  rig.seconds(10);
+  EXPECT_TRUE(rig.noted("absence_not_believed"));
+  EXPECT_GE(rig.published->views[0][0]->lines.size(), 6U) << "rule 1";
+  for (unsigned k = 0; k < 12; ++k) rig.made[k].down = rig.made[k].refuses = false;
+  rig.seconds(40);
+  for (unsigned k = 0; k < 12; ++k) EXPECT_EQ(rig.weight(0, k), 1);
+}
+
 TEST(Coordinator, AWorkerThatTakesAndNeverAnswersIsNoticed) {
   Rig rig{12};
   rig.seconds(5);
@@ -232,6 +257,19 @@
   EXPECT_LE(rig.weight(0, 2), 0.5);
 }
 
+TEST(Coordinator, NamesThatComeAndGoAreForgotten) {
+  Rig rig{3};
+  for (int n = 0; n < 20; ++n) {
+    auto roster = rig.roster;
+    roster[2].name = "passing-" + std::to_string(n), roster[2].at.port = static_cast<std::uint16_t>(1000 + n);
+    rig.now = rig.now + Span::seconds(100);
+    rig.step({RosterHeard{roster}});
+  }
+  EXPECT_FALSE(rig.core.id_of("passing-3"));
+  EXPECT_TRUE(rig.core.id_of("passing-19"));
+  EXPECT_LE(rig.published->directory->size(), 10U);
+}
+
 TEST(Coordinator, FixedWeightsAreWhatTheListSays) {
   Rig rig{6, some_settings(), fixed_weights()};
   rig.seconds(2);
--- a/tests/coordinator/fixture.hpp
+++ b/tests/coordinator/fixture.hpp
@@ -43,7 +43,7 @@
   struct Made {
     std::string boot = "first";
     Instant started = Instant::at_seconds(-1e6);
-    bool draining = false, down = false, hangs = false;
+    bool draining = false, down = false, refuses = false, hangs = false;
     std::uint64_t taken = 0, succeeded = 0, errored = 0;
     double latency = 0, error_part = 0;
     double carry = 0, owed = 0;
@@ -78,7 +78,8 @@
         if (!id) continue;
         const double part = published ? weight(0, k) / std::max(1e-9, total(0)) : 0;
         if (!m.down) work(m, part * rate * 0.1, k);
-        if (m.down || tick % 3 == 0) inputs.emplace_back(HealthHeard{*id, !m.down && !m.hangs, Span::seconds(0.01)});
+        const Health health = m.refuses ? Health::refused : m.down || m.hangs ? Health::failed : Health::well;
+        if (m.down || tick % 3 == 0) inputs.emplace_back(HealthHeard{*id, health, Span::seconds(0.01)});
         if (tick % 5 != 0) continue;
         if (m.down) {
           inputs.emplace_back(LoadMissing{*id, "no connection"});
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -21,7 +21,7 @@
           [this, on_data](std::string_view in) { return on_data ? on_data(in) : (got += in, in.size()); },
           [this](const char* reason) { why = reason; });
     });
-    attempt = connect(loop, kAt, {}, [this](Fd fd) { client = std::move(fd); });
+    attempt = connect(loop, kAt, {}, [this](Fd fd, int) { client = std::move(fd); });
     run(0.05);
   }
   void run(double s) {
@@ -128,7 +128,7 @@
   HttpClient::Result result;
   nobody.ask({}, Span::seconds(1), [&](HttpClient::Result r) { result = std::move(r), loop.stop(); });
   loop.run();
-  EXPECT_EQ(result.outcome, Outcome::no_connection);
+  EXPECT_EQ(result.outcome, Outcome::refused);
   EXPECT_FALSE(result.sent);
 }
 
@@ -172,7 +172,7 @@
   dns::Server server{loop, front, {kAt, 1, Span::seconds(5)}, [](ProxyId) {}};
   std::string one{"\0\x18\x12\x34\1\0\0\1\0\0\0\0\0\0\1x\4test\0\0\6\0\1", 26};
   Fd fd;
-  auto attempt = connect(loop, kAt, {}, [&](Fd got) { fd = std::move(got); });
+  auto attempt = connect(loop, kAt, {}, [&](Fd got, int) { fd = std::move(got); });
   const auto run = [&](double t) {
     loop.after(Span::seconds(t), [&] { loop.stop(); });
     loop.run();
@@ -191,7 +191,7 @@
   const auto size = static_cast<std::size_t>(static_cast<unsigned char>(out[0]) << 8U | static_cast<unsigned char>(out[1])) + 2;
   EXPECT_EQ(static_cast<std::size_t>(n), 3 * size);
   Fd second;
-  auto more = connect(loop, kAt, {}, [&](Fd got) { second = std::move(got); });
+  auto more = connect(loop, kAt, {}, [&](Fd got, int) { second = std::move(got); });
   run(0.03);
   EXPECT_EQ(server.turned_away(), 1U);
   EXPECT_EQ(::recv(second.get(), out, sizeof out, MSG_DONTWAIT), 0) << "closed at once";
