Drive forwarders by their runtime sockets, and give operators a socket of their own

Change: src/runtime_api holds a stream to each forwarder in the published command language (learn first, send the difference, in force by its answer, read back and repair), and answers persons' commands on a UNIX socket or, with a token, on TCP; 'gorsemount ctl' asks it. Stand-in forwarders pick by weight or of two, keep tables, avoid what failed, and refuse, lie, stall or restart on command. Found on the way and mended: what errors after its try was read shows as more errored than tried in a round; a try now counts when it is known how it ended.

--- a/src/app/day.cpp
+++ b/src/app/day.cpp
@@ -151,6 +151,7 @@
                                     v.worst, v.limit, v.unit, v.detail).c_str());
   for (const auto& [what, r] : {std::pair{"a worker's crash to the first list without it", &a.crash_to_answer},
                                 {"a worker's crash to the last list with it", &a.crash_to_last},
+                                {"a table's leaving the channel to in force", &a.in_force},
                                 {"a drain to the last invocation sent there", &a.drain_to_last}})
     if (!r->seconds.empty())
       std::printf("  from %-46s %7.3f s in the middle, %7.3f s at worst, of %zu\n", what, r->middle(), r->worst(), r->seconds.size());
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 // The program `gorsemount`: subcommands and exit codes.
 #include <CLI/CLI.hpp>
 
+#include "app/ctl.hpp"
 #include "app/day.hpp"
 #include "app/exit_codes.hpp"
 #include "app/serve.hpp"
@@ -25,6 +26,14 @@
   explain_command->add_option("CONFIG", file, "settings (HCL)")->required();
   explain_command->callback([&] { code = explain_config(file); });
 
+  CtlOptions asking;
+  auto* ctl_command = app.add_subcommand("ctl", "ask a running coordinator, or order it");
+  ctl_command->add_option("SOCKET", asking.socket, "its operators' socket: a path, or ADDRESS:PORT with --token-file");
+  ctl_command->add_option("COMMAND", asking.words, "the command; none: read commands from standard input");
+  ctl_command->add_option("--token-file", asking.token_file, "the token for a TCP socket");
+  ctl_command->add_flag("--complete", asking.complete, "print the commands that begin with COMMAND, for a shell's completion");
+  ctl_command->callback([&] { code = ctl(asking); });
+
   DayOptions playing;
   bool no_baseline = false;
   auto* day_command = app.add_subcommand("day", "play a scripted day on loopback and judge the rules");
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -29,4 +29,10 @@
              micros_now(), coordinator_, m.group.value, m.lines);
 }
 
+void Records::in_force(ProxyId forwarder, std::uint64_t version, Span took, std::size_t changes) {
+  if (!file_) return;
+  fmt::print(file_.get(), "{{\"t\":{},\"what\":\"in_force\",\"coordinator\":\"{}\",\"forwarder\":{},\"version\":{},\"took\":{},\"changes\":{}}}\n",
+             micros_now(), coordinator_, forwarder.value, version, took.seconds(), changes);
+}
+
 }  // namespace gorsemount::app
--- a/src/app/records.hpp
+++ b/src/app/records.hpp
@@ -13,6 +13,8 @@
  public:
   Records(const std::string& file, std::string coordinator);  // none if empty; throws std::system_error
   void message(const coordinator::Message& message);
+  // A forwarder holds a version, so long after it was handed over.
+  void in_force(ProxyId forwarder, std::uint64_t version, Span took, std::size_t changes);
 
  private:
   struct Close {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -17,6 +17,8 @@
 #include "hears/prober.hpp"
 #include "log/log.hpp"
 #include "net/loop.hpp"
+#include "runtime_api/command_server.hpp"
+#include "runtime_api/operators.hpp"
 
 namespace gorsemount::app {
 
@@ -42,6 +44,17 @@
   return f;
 }
 
+runtime_api::DriverSettings driver_settings(const ServeSettings& s) {
+  runtime_api::DriverSettings d;
+  for (std::size_t k = 0; k < s.core.forwarders.size(); ++k)
+    d.targets.push_back({ProxyId{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)}, s.core.forwarders[k].name,
+                         s.runtime.forwarders[k]});
+  for (const auto& op : s.core.operations) d.operations.push_back(op.name);
+  d.report_every = s.core.report_every, d.read_back_every = s.runtime.read_back_every;
+  d.answer_within = s.runtime.answer_within, d.redial_after = s.runtime.redial_after;
+  return d;
+}
+
 void print(const std::vector<hcl::Fault>& faults) {
   for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
 }
@@ -59,7 +72,14 @@
                 {s_.health_path, s_.load_path, s_.health_every, s_.health_again, s_.health_timeout, s_.load_every, s_.load_timeout,
                  s_.core.operations},
                 [this](Input input) { take(std::move(input)); }},
-        seen_(s_.core.groups.size()) {}
+        seen_(s_.core.groups.size()),
+        driver_{loop_, driver_settings(s_),
+                {[this](Input input) { take(std::move(input)); },
+                 [this](const std::string& name) { return core_.id_of(name); },
+                 [this](bool warning, const std::string& event, const log::Fields& fields) { say(warning, event, fields); },
+                 [this](ProxyId id, std::uint64_t version, Span took, std::size_t changes) {
+                   records_.in_force(id, version, took, changes);
+                 }}} {}
 
   int run() {
     read_roster();
@@ -74,6 +94,7 @@
     log_.event(log::Level::info, "listening",
                {{"at", s_.listen.text()}, {"origin", s_.dns.origin}, {"zone", s_.zone_name},
                 {"lifetime", config::span_text(coordinator::answer_lifetime(s_.core))}});
+    if (!open_operators()) return kCannotListen;
     loop_.on_signal(SIGTERM, [this] { stop(); });
     loop_.on_signal(SIGINT, [this] { stop(); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -109,13 +130,53 @@
     take(coordinator::LookedUp{group});
   }
 
+  void say(bool warning, const std::string& event, const log::Fields& fields) {
+    log_.event(warning ? log::Level::warning : log::Level::info, event, fields);
+    if (warning && operators_) operators_->remember(event, fields);
+  }
+
+  bool open_operators() {
+    if (s_.runtime.socket.empty() && !s_.runtime.tcp) return true;
+    try {
+      std::string token;
+      if (!s_.runtime.token_file.empty()) {
+        std::vector<hcl::Fault> faults;
+        token = config::read_file(s_.runtime.token_file, faults);
+        token.erase(token.find_last_not_of(" \r\n") + 1);
+        if (!faults.empty() || token.size() < 16) throw std::runtime_error{s_.runtime.token_file + ": expected a token of 16 characters or more"};
+      }
+      operators_.emplace(core_, [this](const coordinator::PersonOrders& order) { return ordered(order); },
+                         [this] { return driver_.status(); }, token);
+      const auto serve = [this](std::unique_ptr<runtime_api::CommandServer>& to, bool trusted) {
+        // Peers of the two sockets must not be taken for each other.
+        to = std::make_unique<runtime_api::CommandServer>(
+            loop_, [this, trusted](std::uint64_t peer, const std::string& command, const std::string&) {
+              return operators_->handle(peer, trusted, command);
+            }, runtime_api::CommandServer::Limits{});
+        to->on_gone([this](std::uint64_t peer) { operators_->gone(peer); });
+      };
+      if (!s_.runtime.socket.empty()) serve(socket_, true), socket_->listen(s_.runtime.socket, s_.runtime.socket_mode);
+      if (s_.runtime.tcp) serve(tcp_, false), tcp_->listen(*s_.runtime.tcp);
+      return true;
+    } catch (const std::exception& fault) {
+      log_.event(log::Level::error, "cannot_listen", {{"at", "operators' socket"}, {"why", fault.what()}});
+      return false;
+    }
+  }
+
+  std::string ordered(const coordinator::PersonOrders& order) {
+    inputs_.emplace_back(order);
+    step();
+    return answers_.empty() ? "" : answers_.back();
+  }
+
   void step() {
     const auto effects = core_.step(net::monotonic_now(), std::exchange(inputs_, {}));
     if (effects.published) front_.publish(effects.published, core_.group_map());
     for (const auto& m : effects.messages) records_.message(m);
-    for (const auto& n : effects.notes)
-      log_.event(n.weight == coordinator::Note::Weight::warning ? log::Level::warning : log::Level::info, n.event,
-                 n.fields);
+    for (const auto& d : effects.deliveries) driver_.deliver(d.forwarder, d.table);
+    answers_ = effects.answers;
+    for (const auto& n : effects.notes) say(n.weight == coordinator::Note::Weight::warning, n.event, n.fields);
     loop_.cancel(wake_);
     wake_ = loop_.at(effects.wake_at, [this] { step(); });
   }
@@ -206,6 +267,10 @@
   hears::Prober prober_;
   std::vector<Input> inputs_;
   std::vector<Instant> seen_;
+  std::vector<std::string> answers_;
+  runtime_api::Driver driver_;
+  std::optional<runtime_api::Operators> operators_;
+  std::unique_ptr<runtime_api::CommandServer> socket_, tcp_;
   net::Loop::Timer wake_;
   std::string roster_mark_, roster_fault_;
   bool gathering_ = false, stopping_ = false;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -163,6 +164,53 @@
 
 }  // namespace
 
+namespace {
+
+void read_runtime(Section& root, ServeSettings& s) {
+  Section in = root.only("runtime");
+  s.runtime.read_back_every = in.span("read_back_every", Span::seconds(2), ms(50), Span::seconds(600));
+  s.runtime.answer_within = in.span("answer_within", Span::seconds(2), ms(50), Span::seconds(60));
+  s.runtime.redial_after = in.span("redial_after", ms(500), ms(10), Span::seconds(60));
+  s.core.fleet_rate = in.number("fleet_rate", 0, {0, 1e9}, "invocations/s");
+  in.done();
+  std::map<Endpoint, std::string> taken;
+  for (const auto* b : root.blocks("forwarder", 1)) {
+    Section f{b->body, b->at, path_of(*b), *root.findings()};
+    coordinator::Forwarder forwarder;
+    forwarder.name = b->labels[0].first;
+    forwarder.zone = zone_of(f, "zone", s.core.zones);
+    const Endpoint at = endpoint(f, "runtime", std::nullopt);
+    forwarder.sources = prefixes(f, "sources");
+    forwarder.usual_rate = f.number("usual_rate", 1, {0, 1e9}, "invocations/s");
+    if (const auto [it, fresh] = taken.try_emplace(at, forwarder.name); !fresh)
+      f.fault(f.place("runtime"), fmt::format("{} is the socket of \"{}\" too", at.text(), it->second));
+    s.core.forwarders.push_back(std::move(forwarder));
+    s.runtime.forwarders.push_back(at);
+    f.done();
+  }
+  if (s.core.forwarders.size() > 10000) root.fault(root.at(), "more than 10000 forwarders");
+  Section operators = root.only("operators");
+  s.runtime.socket = operators.text("socket", "");
+  const std::string mode = operators.text("mode", "0600");
+  char* end = nullptr;
+  const unsigned long bits = std::strtoul(mode.c_str(), &end, 8);
+  if (mode.empty() || *end != 0 || bits > 0777 || (bits & 2U) != 0)
+    operators.fault(operators.place("mode"), fmt::format("'mode' is \"{}\"; expected octal mode bits such as \"0660\", not "
+                                                         "writable by everyone", mode));
+  s.runtime.socket_mode = static_cast<unsigned>(bits);
+  if (const Endpoint tcp = endpoint(operators, "tcp", ""); tcp.port != 0) {
+    s.runtime.tcp = tcp;
+    const bool loopback = tcp.address.v6 ? tcp.address == *Address::parse("::1") : tcp.address.bytes[0] == 127;
+    if (!loopback) operators.fault(operators.place("tcp"), "'tcp' is to be on a loopback address");
+  }
+  s.runtime.token_file = operators.text("token_file", "");
+  if (s.runtime.tcp && s.runtime.token_file.empty())
+    operators.fault(operators.at(), "'tcp' needs a 'token_file'");
+  operators.done();
+}
+
+}  // namespace
+
 ServeSettings read_settings(const std::string& text, const std::string& file, Findings& findings) {
   findings.file = file;
   ServeSettings s;
@@ -210,6 +258,7 @@
       hears.fault(hears.place(name), fmt::format("'{}' is \"{}\"; expected a path that begins with '/'", name, *path));
   hears.done();
 
+  read_runtime(root, s);
   Section log = root.only("log");
   const std::vector<std::string> levels{"debug", "info", "warning", "error"};
   s.log_level = levels[log.word("level", levels, 1)];
@@ -237,6 +286,8 @@
     text += "|" + span_text(span);
   text += fmt::format("|{} {} {} {} {} {} {}|{} {} {}", c.removal_binds, c.cold_from, c.tip_multiple, c.backlog,
                       c.lines_per_second, c.per_message, c.messages_most, c.lines_most, c.addresses_most, s.tcp_most);
+  for (std::size_t k = 0; k < c.forwarders.size(); ++k)
+    text += fmt::format("|{} {} {}", c.forwarders[k].name, c.forwarders[k].zone.value, s.runtime.forwarders[k].text());
   return text + fmt::format("|{} {}|{} {}|{}", s.health_path, s.load_path, s.dns.hostmaster, s.dns.additional_most,
                             fmt::join(s.dns.nameservers, " "));
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -18,11 +18,21 @@
   int additional_most = 0;  // bytes of an answer over UDP, at most (RFC 6891, section 6.2.3)
 };
 
+struct RuntimeSettings {
+  std::vector<Endpoint> forwarders;  // runtime sockets, in the order of core.forwarders
+  Span read_back_every, answer_within, redial_after;
+  std::string socket;                // the operators' UNIX socket; empty: none
+  unsigned socket_mode = 0;
+  std::optional<Endpoint> tcp;       // and on TCP, with the token of a file
+  std::string token_file;
+};
+
 struct ServeSettings {
   std::string name;
   std::string zone_name;
   coordinator::Settings core;
   DnsSettings dns;
+  RuntimeSettings runtime;
   Endpoint listen;
   int tcp_most = 0;       // TCP connections at one time
   Span tcp_idle;          // RFC 7766, section 6.2.3
--- a/src/forwarders/counters.cpp
+++ b/src/forwarders/counters.cpp
@@ -1,9 +1,14 @@
 #include "forwarders/counters.hpp"
 
+#include <algorithm>
+
 namespace gorsemount::forwarders {
 
 Counters::Told Counters::read(const Reading& reading) {
   Told told;
+  for (const auto& [key, now] : reading.servers)
+    if (now.errored > now.tries) told.impossible = true;
+  if (told.impossible) return told;
   if (last_) {
     for (const auto& [key, now] : reading.servers) {
       const auto was = last_->servers.find(key);
@@ -12,7 +17,9 @@
         continue;
       }
       if (now.tries < was->second.tries || now.errored < was->second.errored) told.restarted = true;
-      told.since.servers[key] = {now.tries - was->second.tries, now.errored - was->second.errored, now.mean_latency};
+      // What errored now may have been tried before the last reading: a try counts when it is known how it ended.
+      const std::uint64_t errored = now.errored - was->second.errored;
+      told.since.servers[key] = {std::max(now.tries - was->second.tries, errored), errored, now.mean_latency};
     }
     for (const auto& [operation, now] : reading.arrived) {
       const auto was = last_->arrived.find(operation);
--- a/src/forwarders/counters.hpp
+++ b/src/forwarders/counters.hpp
@@ -25,6 +25,7 @@
  public:
   struct Told {
     bool restarted = false;
+    bool impossible = false;  // more errored than tried in all: nothing of it is told
     Reading since;  // differences
   };
   // The first reading, and one after a restart, tell nothing: what was counted before is no news.
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
 
 #include <algorithm>
 #include <array>
@@ -166,7 +168,7 @@
       on_close_{std::move(on_close)} {}
 
 std::shared_ptr<Connection> Connection::make(Loop& loop, Fd fd, Limits limits, OnData on_data, OnClose on_close) {
-  set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  set(fd, IPPROTO_TCP, TCP_NODELAY, 1);  // does nothing on a UNIX socket
   std::shared_ptr<Connection> c{
       new Connection{loop, std::move(fd), limits, std::move(on_data), std::move(on_close)}};
   loop.watch(c->fd_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP, [weak = std::weak_ptr{c}](std::uint32_t events) {
@@ -296,6 +298,35 @@
   set(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
   bind_to(fd_, at);
   if (::listen(fd_.get(), 512) != 0) fail("listen " + at.text());
+  start(std::move(on_accept));
+}
+
+Listener::Listener(Loop& loop, const std::string& path, unsigned mode, OnAccept on_accept) : loop_{loop} {
+  sockaddr_un a{};
+  a.sun_family = AF_UNIX;
+  if (path.empty() || path.size() >= sizeof a.sun_path) {
+    errno = ENAMETOOLONG;
+    fail("listen " + path);
+  }
+  std::memcpy(a.sun_path, path.data(), path.size());
+  const auto* raw = reinterpret_cast<const sockaddr*>(&a);
+  const Fd probe{::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+  if (::connect(probe.get(), raw, sizeof a) == 0) {
+    errno = EADDRINUSE;
+    fail("listen " + path);
+  }
+  ::unlink(path.c_str());
+  fd_ = Fd{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  // Never open wider than asked for, not even for a moment.
+  const mode_t before = ::umask(static_cast<mode_t>(~mode & 0777U));
+  const int bound = ::bind(fd_.get(), raw, sizeof a);
+  ::umask(before);
+  if (bound != 0 || ::listen(fd_.get(), 64) != 0) fail("listen " + path);
+  path_ = path;
+  start(std::move(on_accept));
+}
+
+void Listener::start(OnAccept on_accept) {
   loop_.watch(fd_.get(), EPOLLIN, [fd = fd_.get(), take = std::move(on_accept)](std::uint32_t) {
     while (true) {
       sockaddr_storage from{};
@@ -310,7 +341,10 @@
   });
 }
 
-Listener::~Listener() { loop_.unwatch(fd_.get()); }
+Listener::~Listener() {
+  loop_.unwatch(fd_.get());
+  if (!path_.empty()) ::unlink(path_.c_str());
+}
 
 std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
                               std::function<void(Fd, int)> done) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -96,13 +96,19 @@
  public:
   using OnAccept = std::function<void(Fd, const Endpoint& from)>;
   Listener(Loop& loop, const Endpoint& at, OnAccept on_accept);  // throws std::system_error
+  // A UNIX socket with the given mode bits. One that is left behind is replaced; one that somebody listens on is
+  // not: that throws. Peers have no address.
+  Listener(Loop& loop, const std::string& path, unsigned mode, OnAccept on_accept);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
  private:
+  void start(OnAccept on_accept);
+
   Loop& loop_;
   Fd fd_;
+  std::string path_;
 };
 
 // Begins a connection; `done` gets it once it stands, or an empty one and the errno that says why not. Returns a
--- /dev/null
+++ b/src/runtime_api/driver.hpp
@@ -0,0 +1,63 @@
+// Drives forwarders by their runtime sockets: a stream each. A new stream learns what its forwarder holds, then
+// sends the difference; a line is in force when the forwarder's answer says so; a read-back finds what drifted.
+// What to change, and in which order, is forwarders::plan's to say.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordinator/types.hpp"
+#include "forwarders/counters.hpp"
+#include "forwarders/plan.hpp"
+#include "net/socket.hpp"
+
+namespace gorsemount::runtime_api {
+
+struct DriverSettings {
+  struct Target {
+    ProxyId id;
+    std::string name;
+    Endpoint at;
+  };
+  std::vector<Target> targets;
+  std::vector<std::string> operations;
+  Span report_every, read_back_every, answer_within, redial_after;
+};
+
+struct DriverHooks {
+  std::function<void(coordinator::Input)> report;
+  std::function<std::optional<BackendId>(const std::string&)> backend_of;
+  std::function<void(bool warning, const std::string& event, std::vector<std::pair<std::string, std::string>>)> log;
+  // A version came into force at a forwarder, so long after it was handed over.
+  std::function<void(ProxyId, std::uint64_t version, Span took, std::size_t changes)> in_force;
+};
+
+class Driver {
+ public:
+  Driver(net::Loop& loop, DriverSettings settings, DriverHooks hooks);
+  ~Driver();
+  Driver(const Driver&) = delete;
+  Driver& operator=(const Driver&) = delete;
+
+  void deliver(ProxyId forwarder, std::shared_ptr<const coordinator::WantedTable> table);
+
+  struct Status {
+    std::string name;
+    bool up = false;
+    std::uint64_t holds = 0, repairs = 0, refusals = 0;
+    std::size_t waiting = 0;  // commands without an answer yet
+  };
+  [[nodiscard]] std::vector<Status> status() const;
+
+ private:
+  class Stream;
+  net::Loop& loop_;
+  DriverSettings s_;
+  DriverHooks hooks_;
+  std::map<ProxyId, std::unique_ptr<Stream>> streams_;
+};
+
+}  // namespace gorsemount::runtime_api
--- /dev/null
+++ b/src/runtime_api/operators.hpp
@@ -0,0 +1,43 @@
+// The commands that a person at a terminal has. Shows what is, and hands orders to the core; what may be ordered
+// is the core's to say.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordinator/coordinator.hpp"
+#include "runtime_api/driver.hpp"
+
+namespace gorsemount::runtime_api {
+
+class Operators {
+ public:
+  // `order` hands an order to the core at once and returns its answer. `forwarders` may be empty.
+  Operators(const coordinator::Coordinator& core, std::function<std::string(coordinator::PersonOrders)> order,
+            std::function<std::vector<Driver::Status>()> forwarders, std::string token);
+
+  [[nodiscard]] std::string handle(std::uint64_t peer, bool trusted, const std::string& command);
+  void gone(std::uint64_t peer) { known_.erase(peer); }
+  // Warnings, for `show errors`: the last hundred.
+  void remember(const std::string& event, const std::vector<std::pair<std::string, std::string>>& fields);
+
+  // Names of commands that begin with `start`; for completion.
+  [[nodiscard]] static std::vector<std::string> complete(const std::string& start);
+
+ private:
+  using Rows = std::vector<std::vector<std::pair<std::string, std::string>>>;
+  [[nodiscard]] std::string show(const std::vector<std::string>& words, bool json);
+  [[nodiscard]] std::string order(const std::vector<std::string>& words);
+
+  const coordinator::Coordinator& core_;
+  std::function<std::string(coordinator::PersonOrders)> order_;
+  std::function<std::vector<Driver::Status>()> forwarders_;
+  std::string token_;
+  std::set<std::uint64_t> known_;  // peers that gave the token
+  std::deque<std::vector<std::pair<std::string, std::string>>> errors_;
+};
+
+}  // namespace gorsemount::runtime_api
--- a/src/standins/auditor.cpp
+++ b/src/standins/auditor.cpp
@@ -61,6 +61,26 @@
   return v;
 }
 
+// And of a forwarder: the longest time that it had none to pick for an operation.
+Verdict bare_forwarders(const Day& day, const std::vector<Record>& records) {
+  Verdict v{"1 no forwarder without a worker", true, 0, day.unserved.seconds(), "s", ""};
+  std::map<std::string, std::int64_t> since;
+  Roster roster;
+  for (const auto& r : records) {
+    roster.take(r);
+    if (r.what != "bare" && (r.what != "sent" || !r.fields.contains("forwarder"))) continue;
+    const std::string who = r.text("forwarder") + " " + r.text("operation");
+    if (r.what == "sent" || !roster.warm(r.t, day.cold_for)) {
+      since.erase(who);
+      continue;
+    }
+    const double bare = seconds(r.t - since.try_emplace(who, r.t).first->second);
+    if (bare >= v.worst) v.worst = bare, v.detail = who;
+  }
+  v.kept = v.worst <= v.limit;
+  return v;
+}
+
 Verdict twice(const Day& day, const std::vector<Record>& records) {
   Verdict v{"2 no effect twice", true, 0, 1, "effects", ""};
   std::set<std::string> side_effecting;
@@ -232,6 +252,8 @@
     }
   }
   for (const auto& [at, d] : down) settle(d);
+  for (const auto& r : records)
+    if (r.what == "in_force") audit.in_force.seconds.push_back(r.number("took"));
 }
 
 }  // namespace
@@ -251,6 +273,7 @@
 Audit audit(const Day& day, const std::vector<Record>& records) {
   Audit a;
   a.verdicts.push_back(without_answer(day, records));
+  if (!day.forwarders.empty()) a.verdicts.push_back(bare_forwarders(day, records));
   a.verdicts.push_back(twice(day, records));
   drains(day, records, a.disobedient_refused, a.verdicts);
   a.verdicts.push_back(cold(day, records));
--- a/src/standins/client.cpp
+++ b/src/standins/client.cpp
@@ -52,6 +52,7 @@
 
 void Client::with_answer(std::uint64_t number) {
   Invocation& inv = open_.at(number);
+  if (s_.via) return send(number, *s_.via);
   Cache& cache = caches_[inv.operation];
   if (loop_.now() >= cache.until) {
     cache.waiting.push_back(number);
@@ -115,7 +116,7 @@
 void Client::send(std::uint64_t number, const Endpoint& to) {
   Invocation& inv = open_.at(number);
   ++inv.tries, inv.tried.push_back(to);
-  recorder_.write(loop_.now(), "sent", {{"id", inv.id}, {"to", to.text()}, {"obeys", s_.obeys}});
+  if (!s_.via) recorder_.write(loop_.now(), "sent", {{"id", inv.id}, {"to", to.text()}, {"obeys", s_.obeys}});
   auto& idle = pool_[to];
   std::unique_ptr<net::HttpClient> http;
   if (idle.empty()) {
@@ -154,6 +155,8 @@
                      (result.outcome == net::HttpClient::Outcome::answered &&
                       result.response.header("Never-Ran") != nullptr);
   const bool may = proof || op.may_repeat() || s_.repeat_all;
+  if (result.outcome == net::HttpClient::Outcome::answered && result.response.status == 429)
+    return done(number, "rate_limited");
   if (may && inv.tries < 2 && took < op.integration_timeout * 0.9) return with_answer(number);
   done(number, "errored");
 }
--- a/src/standins/day.cpp
+++ b/src/standins/day.cpp
@@ -60,6 +60,16 @@
     in.done();
     day.clients.push_back(c);
   }
+  for (const auto* b : root.blocks("forwarders", 1)) {
+    config::Section in = section_of(*b, root);
+    DayForwarders f;
+    f.zone = zone_in(in);
+    f.count = static_cast<int>(in.number("count", std::nullopt, {1, 250, true}));
+    f.clients = static_cast<int>(in.number("clients", 0, {0, 250, true}));
+    f.rate = in.number("rate", 1, {0, 1000}, "invocations/s"), f.two_choice = in.flag("two_choice", false);
+    in.done();
+    day.forwarders.push_back(f);
+  }
   for (const auto* b : root.blocks("coordinator", 1)) {
     config::Section in = section_of(*b, root);
     day.coordinators.push_back(zone_in(in));
@@ -76,7 +86,8 @@
     in.done();
     day.phases.push_back(p);
   }
-  const std::vector<std::string> kinds{"crash", "hang", "errors", "slow", "silent", "refuse", "drain"};
+  const std::vector<std::string> kinds{"crash", "hang", "errors", "slow", "silent", "refuse", "drain",
+                                       "forwarder_restart", "forwarder_refuse", "forwarder_slow", "forwarder_lie", "streams"};
   for (const auto* b : root.blocks("trouble", 1)) {
     config::Section in = section_of(*b, root);
     Trouble t;
@@ -132,6 +143,7 @@
   day.messages_most = static_cast<int>(rules.number("messages_most", 30, {0, 1e6, true}));
   day.messages_window = some(rules, "messages_window", 10);
   day.levels = rules.flag("levels", false);
+  day.fleet_rate = rules.number("fleet_rate", 0, {0, 1e9}, "invocations/s");
   rules.done();
   read_fleet(root, day);
   read_script(root, day);
@@ -154,6 +166,9 @@
 Address Places::client(std::size_t zone, std::size_t number) const {
   return loopback(octet + 1 + static_cast<unsigned>(zone), 0, static_cast<unsigned>(number));
 }
+Address Places::forwarder(std::size_t zone, std::size_t led_by, std::size_t number) const {
+  return loopback(octet + 1 + static_cast<unsigned>(zone), static_cast<unsigned>(led_by), static_cast<unsigned>(number));
+}
 Endpoint Places::coordinator(std::size_t number) const {
   return {loopback(octet, 0, static_cast<unsigned>(number)), 5300};
 }
@@ -165,6 +180,19 @@
   return day.zones[zone] + "-" + std::to_string(number);
 }
 
+std::vector<ForwarderPlace> forwarders_of(const Day& day, const Places& places) {
+  std::vector<ForwarderPlace> all;
+  std::vector<std::size_t> numbers(day.zones.size(), 0);
+  for (const auto& f : day.forwarders) {
+    const auto zone = static_cast<std::size_t>(std::find(day.zones.begin(), day.zones.end(), f.zone) - day.zones.begin());
+    for (int k = 0; k < f.count; ++k) {
+      const std::size_t n = ++numbers[zone], led_by = 1 + all.size() % day.coordinators.size();
+      all.push_back({f.zone + "-front-" + std::to_string(n), f.zone, led_by, places.forwarder(zone, led_by, n), f});
+    }
+  }
+  return all;
+}
+
 std::vector<RosterLine> roster_of(const Day& day, const Places& places) {
   std::vector<RosterLine> lines;
   std::vector<std::size_t> numbers(day.zones.size(), 0);
@@ -211,6 +239,13 @@
     text += fmt::format("group \"{}-clinics\" {{\n  zone = \"{}\"\n  sources = [\"{}\"]\n  usual_rate = {}\n}}\n",
                         day.zones[z], day.zones[z], places.clients_of(z).text(), rate);
   }
+  for (const auto& f : forwarders_of(day, places))
+    if (f.led_by == number)
+      text += fmt::format("forwarder \"{}\" {{\n  zone = \"{}\"\n  runtime = \"{}:9999\"\n  sources = [\"{}\"]\n  usual_rate = {}\n}}\n",
+                          f.name, f.zone, f.at.text(), Prefix{masked(f.at, 24), 24}.text(),
+                          std::max(1.0, f.kind.rate * f.kind.clients / f.kind.count));
+  text += fmt::format("runtime {{\n  fleet_rate = {}\n}}\noperators {{\n  socket = \"{}/pwani-{}.sock\"\n}}\n",
+                      day.fleet_rate / static_cast<double>(day.coordinators.size()), folder, number);
   text += fmt::format("roster {{\n  file = \"{0}/roster.hcl\"\n}}\nlog {{\n  file = \"{0}/pwani-{1}.log\"\n"
                       "  records = \"{0}/pwani-{1}.records\"\n}}\n",
                       folder, number);
--- a/src/standins/day.hpp
+++ b/src/standins/day.hpp
@@ -38,7 +38,17 @@
   Span at;
   double rate = 1;  // times the usual
 };
-enum class TroubleKind { crash, hang, errors, slow, silent, refuse, drain };
+struct DayForwarders {
+  std::string zone;
+  int count = 0, clients = 0;  // clients: that call these, one forwarder each, in turn
+  double rate = 1;             // invocations a second, each client
+  bool two_choice = false;
+};
+enum class TroubleKind {
+  crash, hang, errors, slow, silent, refuse, drain,
+  // of forwarders
+  forwarder_restart, forwarder_refuse, forwarder_slow, forwarder_lie, streams
+};
 struct Trouble {
   std::string name, zone;  // zone empty: all
   TroubleKind kind = TroubleKind::crash;
@@ -67,6 +77,8 @@
   std::vector<DayOperation> operations;
   std::vector<DayWorkers> workers;
   std::vector<DayClients> clients;
+  std::vector<DayForwarders> forwarders;
+  double fleet_rate = 0;
   std::vector<Phase> phases;
   std::vector<Trouble> troubles;
   std::vector<std::string> coordinators;  // zones they stand in; the name is pwani-N in order
@@ -89,9 +101,18 @@
   [[nodiscard]] Endpoint worker(std::size_t zone, std::size_t number) const;  // 127.octet.zone+1.number
   [[nodiscard]] Address client(std::size_t zone, std::size_t number) const;   // 127.octet+1+zone.0.number
   [[nodiscard]] Endpoint coordinator(std::size_t number) const;               // 127.octet.0.number
+  // Of the forwarders that coordinator `led_by` leads: 127.octet+1+zone.led_by.number, so that a /24 is led by one.
+  [[nodiscard]] Address forwarder(std::size_t zone, std::size_t led_by, std::size_t number) const;
   [[nodiscard]] Prefix clients_of(std::size_t zone) const;
 };
 
+struct ForwarderPlace {
+  std::string name, zone;
+  std::size_t led_by = 1;
+  Address at;
+  DayForwarders kind;
+};
+[[nodiscard]] std::vector<ForwarderPlace> forwarders_of(const Day& day, const Places& places);
 [[nodiscard]] std::string worker_name(const Day& day, std::size_t zone, std::size_t number);
 // The settings file of one coordinator, and the roster.
 [[nodiscard]] std::string coordinator_settings(const Day& day, const Places& places, std::size_t number,
--- /dev/null
+++ b/src/standins/forwarder.cpp
@@ -0,0 +1,315 @@
+#include "standins/forwarder.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace gorsemount::standins {
+
+using forwarders::State;
+
+namespace {
+
+constexpr int kFailures = 4;                    // in a row, of its own tries, before it keeps away
+const Span kAway = Span::seconds(3);
+const Span kStill = Span::seconds(40e-6);       // for each line that it reads
+
+}  // namespace
+
+struct Forwarder::Peer {
+  std::shared_ptr<net::Connection> connection;
+  net::HttpReader<net::Request> reader;
+};
+
+struct Forwarder::Call {
+  std::weak_ptr<net::Connection> connection;
+  std::size_t operation = 0;
+  std::string id;
+  Instant came;
+  int tries = 0;
+  std::vector<std::string> tried;
+};
+
+Forwarder::Forwarder(net::Loop& loop, Recorder& recorder, ForwarderSettings settings, std::uint64_t seed)
+    : loop_{loop}, recorder_{recorder}, s_{std::move(settings)}, chance_{static_cast<std::uint32_t>(seed)},
+      runtime_{loop, [this](std::uint64_t, const std::string& text, const std::string&) { return command(text); }, {}} {
+  configure();
+  listen();
+  runtime_.listen(s_.runtime);
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::configure() {
+  started_ = loop_.now();
+  lines_.clear(), values_.clear(), arrived_.clear(), tokens_.clear();
+  for (const auto& op : s_.operations)
+    for (const auto& line : s_.first) lines_[{op.name, line.name}].held = {line.at, 100, State::ready};
+}
+
+void Forwarder::restart() {
+  break_streams();
+  for (const auto& [number, peer] : std::exchange(peers_, {})) peer->connection->abort();
+  configure();
+  recorder_.write(loop_.now(), "forwarder_start", {{"forwarder", s_.name}});
+}
+
+void Forwarder::break_streams() { runtime_.drop_all(); }
+
+void Forwarder::fault(std::optional<TroubleKind> kind) {
+  const bool slow = kind == TroubleKind::forwarder_slow;
+  if ((fault_ == TroubleKind::forwarder_slow) != slow) runtime_.hold(slow);
+  fault_ = kind;
+}
+
+void Forwarder::listen() {
+  listener_ = std::make_unique<net::Listener>(loop_, s_.listen, [this](net::Fd fd, const Endpoint&) {
+    const std::uint64_t number = ++number_;
+    auto peer = std::make_shared<Peer>();
+    peers_[number] = peer;
+    peer->connection = net::Connection::make(
+        loop_, std::move(fd), {64U << 10U, 1U << 20U, Span::seconds(60)},
+        [this, weak = std::weak_ptr{peer}](std::string_view bytes) -> std::size_t {
+          const auto strong = weak.lock();
+          if (!strong) return bytes.size();
+          const std::size_t used = strong->reader.feed(bytes);
+          if (!strong->reader.fault().empty()) {
+            strong->connection->abort();
+            return bytes.size();
+          }
+          if (const auto got = strong->reader.take()) request(strong->connection, *got);
+          return used;
+        },
+        [this, number](const char*) { peers_.erase(number); });
+  });
+}
+
+// ---- The runtime socket --------------------------------------------------------------------------------
+
+std::string Forwarder::command(const std::string& text) {
+  const auto words = runtime_api::split_words(text);
+  const auto is = [&](std::initializer_list<const char*> start) {
+    return words.size() >= start.size() && std::equal(start.begin(), start.end(), words.begin());
+  };
+  if (is({"show", "info"}))
+    return fmt::format("Name: HAProxy\nVersion: stand-in\nUptime_sec: {:.0f}\nnode: {}\n", (loop_.now() - started_).seconds(), s_.name);
+  if (is({"show", "servers", "state"})) return servers_state();
+  if (is({"show", "stat"})) return stat();
+  const bool changes = is({"set"}) || is({"add"}) || is({"del"}) || is({"enable"}) || is({"disable"});
+  if (!changes) return fmt::format("Unknown command: '{}'.\n", words.empty() ? "" : words[0]);
+  if (fault_ == TroubleKind::forwarder_refuse) return "Permission denied\n";
+  still_until_ = std::max(still_until_, loop_.now()) + kStill;
+  if (is({"set", "var"}) && words.size() == 4 && words[2].starts_with("proc.gm_") && words[3].starts_with("int(")) {
+    values_[words[2].substr(8)] = std::atoi(words[3].c_str() + 4);
+    return "";
+  }
+  if (is({"set", "server"})) return set_server(words);
+  if (words.size() < 3 || words[1] != "server") return "Unknown command.\n";
+  const auto slash = words[2].find('/');
+  const Key key{words[2].substr(0, slash), slash == std::string::npos ? "" : words[2].substr(slash + 1)};
+  const auto it = lines_.find(key);
+  if (is({"add"})) {
+    if (it != lines_.end()) return "Already exists a server with the same name in this backend.\n";
+    const auto at = words.size() > 3 ? Endpoint::parse(words[3]) : std::nullopt;
+    if (!at) return "Invalid address.\n";
+    Line& line = lines_[key];
+    line.held = {*at, 100, State::maint};
+    for (std::size_t k = 4; k < words.size(); ++k) {
+      if (words[k] == "weight" && k + 1 < words.size()) line.held.weight = std::atoi(words[++k].c_str());
+      if (words[k] == "enabled") line.held.state = State::ready;
+    }
+    return "New server registered.\n";
+  }
+  if (it == lines_.end()) return "No such server.\n";
+  if (is({"del"})) {
+    if (it->second.held.state != State::maint) return "Only servers in maintenance mode can be deleted.\n";
+    lines_.erase(it);
+    return "Server deleted.\n";
+  }
+  it->second.held.state = is({"enable"}) ? State::ready : State::maint;
+  return "";
+}
+
+std::string Forwarder::set_server(const std::vector<std::string>& words) {
+  if (words.size() < 5) return "'set server' expects a server and a value.\n";
+  const auto slash = words[2].find('/');
+  const auto it = lines_.find({words[2].substr(0, slash), slash == std::string::npos ? "" : words[2].substr(slash + 1)});
+  if (it == lines_.end()) return "No such server.\n";
+  auto& held = it->second.held;
+  if (words[3] == "weight") {
+    char* end = nullptr;
+    double number = std::strtod(words[4].c_str(), &end);
+    if (*end == '%') number = held.weight * number / 100, ++end;
+    if (*end != 0 || number < 0 || number > forwarders::kWeightMost) return "Absolute weight can only be between 0 and 256 inclusive.\n";
+    held.weight = static_cast<int>(number);
+  } else if (words[3] == "state") {
+    if (words[4] != "ready" && words[4] != "drain" && words[4] != "maint") return "'set server <srv> state' expects 'ready', 'drain' and 'maint'.\n";
+    held.state = words[4] == "ready" ? State::ready : words[4] == "drain" ? State::drain : State::maint;
+  } else if (words[3] == "addr") {
+    const auto address = Address::parse(words[4]);
+    if (!address) return "Invalid addr format.\n";
+    held.at.address = *address;
+    if (words.size() > 6 && words[5] == "port") held.at.port = static_cast<std::uint16_t>(std::atoi(words[6].c_str()));
+    it->second.in_a_row = 0, it->second.avoid_until = {};
+    return "IP changed from 'somewhere' by 'stats socket command'\n";
+  } else {
+    return "'set server <srv>' only supports 'weight', 'state' and 'addr' here.\n";
+  }
+  return "";
+}
+
+std::string Forwarder::servers_state() const {
+  std::string out = "1\n# be_id be_name srv_id srv_name srv_addr srv_op_state srv_admin_state srv_uweight srv_iweight "
+                    "srv_time_since_last_change srv_check_status srv_port\n";
+  int number = 0;
+  for (const auto& [key, line] : lines_) {
+    const auto& h = line.held;
+    out += fmt::format("3 {} {} {} {} {} {} {} 100 0 1 {}\n", key.first, ++number, key.second, h.at.address.text(),
+                       h.state == State::maint ? 0 : 2, h.state == State::maint ? 1 : h.state == State::drain ? 8 : 0, h.weight, h.at.port);
+  }
+  return out;
+}
+
+std::string Forwarder::stat() const {
+  std::string out = "# pxname,svname,qcur,qmax,scur,stot,econ,eresp,wretr,weight,hrsp_2xx,hrsp_5xx,ttime,extra,\n";
+  const bool lies = fault_ == TroubleKind::forwarder_lie;
+  for (const auto& op : s_.operations) {
+    for (const auto& [key, line] : lines_)
+      if (key.first == op.name)
+        out += fmt::format("{},{},0,0,{},{},{},0,0,{},{},{},{:.0f},,\n", key.first, key.second, line.out, line.tries,
+                           line.errored, line.held.weight, line.tries - std::min(line.tries, line.errored + line.failed),
+                           lies ? line.tries * 50 : line.failed, 1000 * line.latency);
+    const auto it = arrived_.find(op.name);
+    out += fmt::format("{},BACKEND,0,0,0,{},0,0,0,0,0,0,0,,\n", op.name, it == arrived_.end() ? 0 : it->second);
+  }
+  return out;
+}
+
+// ---- Invocations ---------------------------------------------------------------------------------------
+
+int Forwarder::value(const std::string& name, int otherwise) const {
+  std::string key = name;
+  std::replace(key.begin(), key.end(), '-', '_');
+  const auto it = values_.find(key);
+  return it == values_.end() ? otherwise : it->second;
+}
+
+bool Forwarder::admitted(std::size_t operation) {
+  const std::string& name = s_.operations[operation].name;
+  if (std::uniform_int_distribution<>{0, 999}(chance_) >= value("level_" + name, 1000)) return false;
+  const int rate = value("rate_" + name, -1);
+  if (rate < 0 || rate >= 1'000'000'000) return true;
+  auto& [left, at] = tokens_[name];
+  const double per_second = rate / 10.0;
+  left = std::min(std::max(1.0, per_second / 2), left + per_second * (at == Instant{} ? 1.0 : (loop_.now() - at).seconds()));
+  at = loop_.now();
+  if (left < 1) return false;
+  left -= 1;
+  return true;
+}
+
+void Forwarder::request(const std::shared_ptr<net::Connection>& connection, const net::Request& request) {
+  for (std::size_t k = 0; k < s_.operations.size(); ++k) {
+    if (request.target != "/invoke/" + s_.operations[k].name) continue;
+    auto call = std::make_shared<Call>();
+    call->connection = connection, call->operation = k, call->id = request.body, call->came = loop_.now();
+    ++arrived_[s_.operations[k].name];
+    if (!admitted(k)) return answer(*call, 429, true);
+    // While it reads lines it stands still, and whoever comes waits for that.
+    loop_.at(std::max(loop_.now(), still_until_), [this, call] { forward(call); });
+    return;
+  }
+  connection->send(net::write(net::Response{404, {}, "no such operation\n", true}));
+}
+
+std::optional<std::string> Forwarder::pick(const Call& call) {
+  const std::string& op = s_.operations[call.operation].name;
+  std::vector<std::pair<std::string, const Line*>> fit;
+  for (const bool all : {false, true}) {
+    for (const auto& [key, line] : lines_)
+      if (key.first == op && line.held.picked() > 0 &&
+          (all || (loop_.now() >= line.avoid_until && std::find(call.tried.begin(), call.tried.end(), key.second) == call.tried.end())))
+        fit.emplace_back(key.second, &line);
+    if (!fit.empty()) break;
+  }
+  if (fit.empty()) return {};
+  std::vector<double> weights;
+  for (const auto& [name, line] : fit) weights.push_back(line->held.picked());
+  std::discrete_distribution<std::size_t> draw{weights.begin(), weights.end()};
+  const auto* chosen = &fit[draw(chance_)];
+  if (s_.two_choice) {
+    const auto* other = &fit[draw(chance_)];
+    if (other->second->out < chosen->second->out) chosen = other;
+  }
+  return chosen->first;
+}
+
+void Forwarder::forward(const std::shared_ptr<Call>& call) {
+  const auto& op = s_.operations[call->operation];
+  const auto worker = pick(*call);
+  if (!worker) {
+    recorder_.write(loop_.now(), "bare", {{"forwarder", s_.name}, {"operation", op.name}});
+    return answer(*call, 503, true);
+  }
+  const Key key{op.name, *worker};
+  Line& line = lines_.at(key);
+  ++line.tries, ++line.out, ++call->tries;
+  call->tried.push_back(*worker);
+  recorder_.write(loop_.now(), "sent", {{"id", call->id}, {"to", line.held.at.text()}, {"obeys", true}, {"forwarder", s_.name}, {"operation", op.name}});
+  const Endpoint to = line.held.at;
+  auto& idle = pool_[to];
+  std::unique_ptr<net::HttpClient> http;
+  if (idle.empty()) {
+    http = std::make_unique<net::HttpClient>(loop_, to, s_.listen.address);
+  } else {
+    http = std::move(idle.back());
+    idle.pop_back();
+  }
+  auto* raw = http.get();
+  auto held = std::make_shared<std::unique_ptr<net::HttpClient>>(std::move(http));
+  const Span left = op.integration_timeout * 0.8 - (loop_.now() - call->came);
+  raw->ask({"POST", "/invoke/" + op.name, {}, call->id, true}, std::max(Span::seconds(0.001), left),
+           [this, call, key, to, held](net::HttpClient::Result result) {
+             if (result.outcome == net::HttpClient::Outcome::answered) {
+               pool_[to].push_back(std::move(*held));
+             } else {
+               loop_.soon([gone = std::make_shared<std::unique_ptr<net::HttpClient>>(std::move(*held))] {});
+             }
+             replied(call, key, result);
+           });
+}
+
+void Forwarder::replied(const std::shared_ptr<Call>& call, const Key& key, const net::HttpClient::Result& result) {
+  using Outcome = net::HttpClient::Outcome;
+  const bool well = result.outcome == Outcome::answered && result.response.status == 200;
+  const bool proof = !result.sent || (result.outcome == Outcome::answered && result.response.header("Never-Ran") != nullptr);
+  if (const auto it = lines_.find(key); it != lines_.end()) {
+    Line& line = it->second;
+    --line.out;
+    if (well) {
+      line.in_a_row = 0;
+      line.latency = line.latency == 0 ? result.took.seconds() : 0.9 * line.latency + 0.1 * result.took.seconds();
+    } else {
+      ++(result.outcome == Outcome::answered ? line.failed : line.errored);
+      if (++line.in_a_row >= kFailures) line.in_a_row = 0, line.avoid_until = loop_.now() + kAway;
+    }
+  }
+  if (well) return answer(*call, 200, false);
+  // 0: no other try; 1: one after proof; 2, 3: one or two after any failure. Side-effecting work only on proof.
+  const auto& op = s_.operations[call->operation];
+  const int how = value("tries_" + op.name, 1);
+  const int most = how == 0 ? 1 : how == 3 ? 3 : 2;
+  const bool may = how > 0 && call->tries < most && (proof || (how >= 2 && op.may_repeat()));
+  if (may && loop_.now() - call->came < op.integration_timeout * 0.6) return forward(call);
+  answer(*call, proof ? 503 : 502, proof);
+}
+
+void Forwarder::answer(const Call& call, unsigned status, bool never_ran) {
+  const auto connection = call.connection.lock();
+  if (!connection || !connection->open()) return;
+  net::Response response{status, {}, "", true};
+  if (never_ran) response.headers.emplace_back("Never-Ran", "yes");
+  connection->send(net::write(response));
+}
+
+}  // namespace gorsemount::standins
--- a/src/standins/play.cpp
+++ b/src/standins/play.cpp
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "standins/client.hpp"
+#include "standins/forwarder.hpp"
 #include "standins/worker.hpp"
 
 namespace gorsemount::standins {
@@ -23,6 +24,7 @@
   void run() {
     write_roster();
     make_workers();
+    make_forwarders();
     for (std::size_t k = 0; k < day_.coordinators.size(); ++k) servers_.push_back(o_.places.coordinator(k + 1));
     // Clients come once the coordinators have had time to bind.
     loop_.at(o_.start, [this] { make_clients(); });
@@ -72,7 +74,7 @@
       for (int k = 0; k < c.count; ++k) {
         const std::size_t n = ++numbers[c.zone];
         ClientSettings s{fmt::format("{}-clinic-{}", c.zone, n), c.zone, day_.origin, o_.places.client(zone, n), servers_,
-                         day_.operations, c.rate, k < c.by_address * c.count, k >= c.disobedient, day_.unsafe.repeat_all};
+                         day_.operations, c.rate, k < c.by_address * c.count, {}, k >= c.disobedient, day_.unsafe.repeat_all};
         // Half of the clients ask one coordinator first, half the other.
         std::rotate(s.servers.begin(), s.servers.begin() + static_cast<std::ptrdiff_t>(n % servers_.size()),
                     s.servers.end());
@@ -80,9 +82,63 @@
                                                     day_.seed * 100000 + clients_.size()));
       }
     }
+    make_callers(numbers);
+  }
+
+  void make_forwarders() {
+    for (const auto& place : forwarders_of(day_, o_.places)) {
+      ForwarderSettings s{place.name, place.zone, {place.at, 8000}, {place.at, 9999}, day_.operations, {}, place.kind.two_choice};
+      // Its own configuration lists up to four workers of its zone.
+      for (const auto& line : roster_)
+        if (line.zone == place.zone && s.first.size() < 4) s.first.push_back(line);
+      forwarders_.push_back(std::make_unique<Forwarder>(loop_, recorder_, std::move(s), day_.seed * 7000 + forwarders_.size()));
+    }
+  }
+
+  // Clients of forwarders: each calls one, those of a zone in turn.
+  void make_callers(std::map<std::string, std::size_t>& numbers) {
+    for (const auto& kind : day_.forwarders) {
+      const auto zone =
+          static_cast<std::size_t>(std::find(day_.zones.begin(), day_.zones.end(), kind.zone) - day_.zones.begin());
+      std::vector<Endpoint> fronts;
+      for (const auto& f : forwarders_)
+        if (f->settings().zone == kind.zone) fronts.push_back(f->settings().listen);
+      for (int k = 0; k < kind.clients; ++k) {
+        const std::size_t n = ++numbers[kind.zone];
+        ClientSettings s{fmt::format("{}-caller-{}", kind.zone, n), kind.zone, day_.origin, o_.places.client(zone, n),
+                         servers_, day_.operations, kind.rate, false, fronts[static_cast<std::size_t>(k) % fronts.size()],
+                         true, day_.unsafe.repeat_all};
+        clients_.push_back(std::make_unique<Client>(loop_, recorder_, std::move(s),
+                                                    day_.seed * 100000 + clients_.size()));
+      }
+    }
+  }
+
+  void strike_forwarders(const Trouble& t) {
+    std::vector<Forwarder*> in_zone, struck;
+    for (auto& f : forwarders_)
+      if (t.zone.empty() || f->settings().zone == t.zone) in_zone.push_back(f.get());
+    const auto n = t.count > 0 ? static_cast<std::size_t>(t.count)
+                               : static_cast<std::size_t>(t.part * static_cast<double>(in_zone.size()) + 0.5);
+    for (auto* f : in_zone)
+      if (struck.size() < n) struck.push_back(f);
+    for (auto* f : struck) {
+      recorder_.write(loop_.now(), "trouble", {{"name", t.name}, {"forwarder", f->settings().name}});
+      if (t.kind == TroubleKind::forwarder_restart) {
+        f->restart();
+      } else if (t.kind == TroubleKind::streams) {
+        f->break_streams();
+      } else {
+        f->fault(t.kind);
+      }
+    }
+    loop_.after(t.lasts, [struck] {
+      for (auto* f : struck) f->fault(std::nullopt);
+    });
   }
 
   void strike(const Trouble& t) {
+    if (t.kind >= TroubleKind::forwarder_restart) return strike_forwarders(t);
     std::vector<Worker*> in_zone, struck;
     for (auto& w : workers_)
       if (t.zone.empty() || w->settings().zone == t.zone) in_zone.push_back(w.get());
@@ -147,6 +203,7 @@
   std::vector<RosterLine> roster_;
   std::vector<Endpoint> servers_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  std::vector<std::unique_ptr<Forwarder>> forwarders_;
   std::vector<std::unique_ptr<Client>> clients_;
   std::unique_ptr<Resolver> watcher_;
   std::string phase_;
--- a/tests/coordinator/fixture.hpp
+++ b/tests/coordinator/fixture.hpp
@@ -60,6 +60,7 @@
   Effects step(std::vector<Input> inputs) {
     Effects e = core.step(now, inputs);
     if (e.published) published = e.published;
+    deliveries.insert(deliveries.end(), e.deliveries.begin(), e.deliveries.end());
     notes.insert(notes.end(), e.notes.begin(), e.notes.end());
     for (const auto& m : e.messages) EXPECT_LE(m.waiting, s.backlog) << "rule 5";
     wake = e.wake_at;
@@ -123,6 +124,7 @@
   Instant now = Instant::at_seconds(1000), wake;
   std::shared_ptr<const Published> published;
   std::vector<Note> notes;
+  std::vector<Delivery> deliveries;
   double rate = 120;  // invocations a second in all
   unsigned tick = 0;
 
--- a/tests/days/short.hcl
+++ b/tests/days/short.hcl
@@ -49,6 +49,38 @@
   count = 6
   rate  = 2.5
 }
+forwarders "kariakoo" {
+  zone    = "kariakoo"
+  count   = 2
+  clients = 3
+  rate    = 2
+}
+forwarders "ubungo" {
+  zone       = "ubungo"
+  count      = 2
+  clients    = 3
+  rate       = 2
+  two_choice = true
+}
+trouble "streams" {
+  kind  = "streams"
+  at    = "4s"
+  lasts = "1s"
+}
+trouble "restart" {
+  kind  = "forwarder_restart"
+  zone  = "ubungo"
+  at    = "6s"
+  lasts = "1s"
+  count = 1
+}
+trouble "refuses" {
+  kind  = "forwarder_refuse"
+  zone  = "kariakoo"
+  at    = "9s"
+  lasts = "1s"
+  count = 1
+}
 trouble "crash" {
   kind  = "crash"
   zone  = "kariakoo"
--- a/tests/forwarders/plan_test.cpp
+++ b/tests/forwarders/plan_test.cpp
@@ -157,6 +157,10 @@
   const std::pair<std::string, std::string> key{"read", "w1"};
   EXPECT_EQ(told.since.servers.at(key).tries, 10U);
   EXPECT_EQ(told.since.arrived.at("read"), 11U);
+  r.servers[{"read", "w1"}].errored = 200;
+  EXPECT_TRUE(counters.read(r).impossible) << "more errored than tried";
+  r.servers[{"read", "w1"}] = {112, 9, Span::seconds(0.2)};
+  EXPECT_EQ(counters.read(r).since.servers.at(key).tries, 4U) << "tried before, ended now";
   r.servers[{"read", "w1"}].tries = 3, r.arrived["read"] = 3;
   const auto again = counters.read(r);
   EXPECT_TRUE(again.restarted);
