Judge a forwarder's drains from its joining, as the rule has it

Change: stand-in forwarders record when a stream leads them, the auditor counts from the later of the two times; the test says what it means.

--- a/src/standins/auditor.cpp
+++ b/src/standins/auditor.cpp
@@ -101,15 +101,27 @@
   Verdict begun{"3 drains kept, work taken on", true, 0, day.drain_grace.seconds(), "s after it was told", ""};
   std::map<std::string, std::int64_t> told;
   std::map<std::string, bool> obeys;  // by invocation
+  std::map<std::string, std::string> via;
+  std::map<std::string, std::int64_t> joined;  // since when each forwarder has a stream
   for (const auto& r : records) {
+    if (r.what == "joined") joined[r.text("forwarder")] = r.t;
+    if (r.what == "left") joined.erase(r.text("forwarder"));
+    if (r.what == "sent") via[r.text("id")] = r.text("forwarder");
     if (r.what == "told_draining") told[r.text("worker")] = r.t;
     if (r.what == "told_ready") told.erase(r.text("worker"));
     if (r.what == "sent") obeys[r.text("id")] = r.fields.value("obeys", true);
     const auto it = r.what == "arrived" ? told.find(r.text("worker")) : told.end();
     if (it == told.end()) continue;
     const bool turned_away = r.fields.value("refused", false);
-    const double after = seconds(r.t - it->second);
     const std::string who = r.text("worker") + " " + r.text("id");
+    // A forwarder is bound by the rule while it is joined, and the time runs from its joining.
+    std::int64_t from = it->second;
+    const std::string& front = via[r.text("id")];
+    if (!front.empty()) {
+      if (!joined.contains(front)) continue;
+      from = std::max(from, joined[front]);
+    }
+    const double after = seconds(r.t - from);
     if (obeys[r.text("id")]) {
       if (after > sent.worst) sent.worst = after, sent.detail = who;
     } else {
--- a/src/standins/forwarder.hpp
+++ b/src/standins/forwarder.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "net/http.hpp"
@@ -49,7 +50,7 @@
 
   void configure();
   void listen();
-  std::string command(const std::string& text);
+  std::string command(std::uint64_t peer, const std::string& text);
   std::string set_server(const std::vector<std::string>& words);
   [[nodiscard]] std::string servers_state() const;
   [[nodiscard]] std::string stat() const;
@@ -75,6 +76,7 @@
   std::unique_ptr<net::Listener> listener_;
   std::map<std::uint64_t, std::shared_ptr<Peer>> peers_;
   std::map<Endpoint, std::vector<std::unique_ptr<net::HttpClient>>> pool_;
+  std::set<std::uint64_t> led_by_;  // streams that asked what it holds: whoever does, leads it
   std::uint64_t number_ = 0;
 };
 
--- a/tests/standins/auditor_test.cpp
+++ b/tests/standins/auditor_test.cpp
@@ -60,6 +60,11 @@
   EXPECT_EQ(broken({told, sent(true), came(5.2, true)}), "3 drains kept, sending;");
   EXPECT_EQ(broken({told, sent(false), came(5.2, true)}), "") << "refused before it began";
   EXPECT_EQ(broken({told, sent(false), came(5.2, false)}), "3 drains kept, work taken on;");
+  const auto by_front = at(0.1, "sent", {{"id", "1"}, {"obeys", true}, {"forwarder", "f"}});
+  const auto joined = [](double t) { return at(t, "joined", {{"forwarder", "f"}}); };
+  EXPECT_EQ(broken({told, by_front, came(9, true)}), "") << "nobody leads it";
+  EXPECT_EQ(broken({told, by_front, joined(5), came(9, true)}), "") << "the time runs from its joining";
+  EXPECT_EQ(broken({told, by_front, joined(3), came(9, true)}), "3 drains kept, sending;");
   EXPECT_EQ(broken({told, sent(true), at(1, "told_ready", {{"worker", "w"}}), came(9, false)}), "");
 }
 
