--- a/bench/program_bench.cpp
+++ b/bench/program_bench.cpp
@@ -10,12 +10,16 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <filesystem>
+#include <functional>
 #include <cstring>
 #include <thread>
 
 #include "coordinator/coordinator.hpp"
 #include "dns/front.hpp"
 #include "dns/server.hpp"
+#include "runtime_api/driver.hpp"
+#include "standins/forwarder.hpp"
 
 namespace {
 
@@ -315,10 +319,254 @@
 
 }  // namespace
 
-// With a word, only that part: answers, changes or steps.
+// ---- Forwarders ----------------------------------------------------------------------------------------
+
+// Stand-in forwarders on a core of their own. `slow`: the first of them answers nothing after a while.
+class Fronts {
+ public:
+  Fronts(std::size_t n, bool slow) : at(n) {
+    for (std::size_t k = 0; k < n; ++k)
+      at[k] = *Endpoint::parse("127.6.3." + std::to_string(k + 1) + ":19999");
+    thread_ = std::thread{[this, n, slow] {
+      net::Loop loop;
+      const std::string file = (std::filesystem::temp_directory_path() / "gorsemount-bench.records").string();
+      standins::Recorder recorder{file};
+      std::vector<std::unique_ptr<standins::Forwarder>> fronts;
+      for (std::size_t k = 0; k < n; ++k) {
+        Endpoint listen = at[k];
+        listen.port = 18000;
+        fronts.push_back(std::make_unique<standins::Forwarder>(
+            loop, recorder,
+            standins::ForwarderSettings{"f" + std::to_string(k), "a", listen, at[k],
+                                        {{"refill-check", "idempotent", 1, {}, {}, Span::seconds(2), 1}}, {}, false}, k));
+      }
+      std::function<void()> watch = [&] {
+        if (stop_) return loop.stop();
+        if (slow && halt_) fronts[0]->fault(standins::TroubleKind::forwarder_slow);
+        loop.after(Span::seconds(0.01), watch);
+      };
+      watch();
+      ready_ = true;
+      loop.run();
+      fronts.clear();
+      std::filesystem::remove(file);
+    }};
+    pin(thread_, 3);
+    while (!ready_) std::this_thread::yield();
+  }
+  ~Fronts() {
+    stop_ = true;
+    thread_.join();
+  }
+  void halt() { halt_ = true; }
+  std::vector<Endpoint> at;
+
+ private:
+  std::atomic<bool> stop_{false}, ready_{false}, halt_{false};
+  std::thread thread_;
+};
+
+std::shared_ptr<coordinator::WantedTable> wanted(std::uint64_t version, std::size_t lines) {
+  auto t = std::make_shared<coordinator::WantedTable>();
+  t->version = version;
+  t->parts.push_back({"refill-check", {}, {}, -1});
+  for (std::size_t k = 0; k < lines; ++k) {
+    const std::string name = "w" + std::to_string(k);
+    t->known.push_back(name);
+    const double weight = k == 0 ? 1 : 0.1 + 0.8 * static_cast<double>((k * 7 + version * 13) % 97) / 97;
+    t->parts[0].lines.push_back({BackendId{static_cast<std::uint32_t>(k)}, name,
+                                 *Endpoint::parse("127.6.0." + std::to_string(k % 250 + 1) + ":9000"), weight, false});
+  }
+  return t;
+}
+
+// A driver on a loop, with what came into force and when.
+struct Lead {
+  Lead(net::Loop& on, const std::vector<Endpoint>& at) : loop{on} {
+    runtime_api::DriverSettings s;
+    for (std::size_t k = 0; k < at.size(); ++k)
+      s.targets.push_back({ProxyId{static_cast<std::uint16_t>(30000 + k)}, "f" + std::to_string(k), at[k]});
+    s.operations = {"refill-check"};
+    s.report_every = Span::seconds(1), s.read_back_every = Span::seconds(0.5);
+    s.answer_within = Span::seconds(1), s.redial_after = Span::seconds(0.2);
+    driver = std::make_unique<runtime_api::Driver>(
+        loop, s,
+        runtime_api::DriverHooks{[this](Input i) { joined += std::holds_alternative<coordinator::ForwarderJoined>(i) ? 1 : 0; },
+                                 [](const std::string&) { return std::nullopt; },
+                                 [](bool, const std::string&, const std::vector<std::pair<std::string, std::string>>&) {},
+                                 [this](ProxyId, std::uint64_t version, Span took, std::size_t changes) {
+                                   if (version == want) ++in_force, times.push_back(took.seconds()), sent += changes;
+                                 }});
+  }
+  void deliver(std::size_t n, std::size_t lines) {
+    const auto t = wanted(++want, lines);
+    in_force = sent = 0;
+    for (std::size_t k = 0; k < n; ++k) driver->deliver(ProxyId{static_cast<std::uint16_t>(30000 + k)}, t);
+  }
+  // Until so many hold it, or the time is over. Returns the time taken, s.
+  double until(std::size_t n, double most) {
+    const Instant began = net::monotonic_now();
+    std::function<void()> watch = [&] {
+      if (in_force >= n || (net::monotonic_now() - began).seconds() > most) return loop.stop();
+      loop.after(Span::seconds(0.0005), watch);
+    };
+    watch();
+    loop.run();
+    return (net::monotonic_now() - began).seconds();
+  }
+  void run(double s) {
+    loop.after(Span::seconds(s), [this] { loop.stop(); });
+    loop.run();
+  }
+  net::Loop& loop;
+  std::unique_ptr<runtime_api::Driver> driver;
+  std::size_t joined = 0, in_force = 0, sent = 0;
+  std::uint64_t want = 0;
+  std::vector<double> times;
+};
+
+double thread_seconds() {
+  timespec t{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+  return static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec);
+}
+
+// The same bytes written to as many sockets that read and do nothing.
+double bare_write(std::size_t n, std::size_t bytes) {
+  const Endpoint at = *Endpoint::parse("127.6.4.1:19997");
+  std::atomic<std::size_t> got{0};
+  std::atomic<bool> stop{false}, ready{false};
+  std::thread sink{[&] {
+    net::Loop loop;
+    std::vector<std::shared_ptr<net::Connection>> peers;
+    net::Listener listener{loop, at, [&](net::Fd fd, const Endpoint&) {
+                             peers.push_back(net::Connection::make(loop, std::move(fd), {1U << 20U, 1U << 20U, Span::seconds(60)},
+                                                                   [&](std::string_view in) { return got += in.size(), in.size(); },
+                                                                   [](const char*) {}));
+                           }};
+    std::function<void()> watch = [&] {
+      if (stop) return loop.stop();
+      loop.after(Span::seconds(0.01), watch);
+    };
+    watch();
+    ready = true;
+    loop.run();
+  }};
+  pin(sink, 3);
+  while (!ready) std::this_thread::yield();
+  net::Loop loop;
+  std::vector<std::shared_ptr<void>> attempts;
+  std::vector<std::shared_ptr<net::Connection>> out;
+  for (std::size_t k = 0; k < n; ++k)
+    attempts.push_back(net::connect(loop, at, {}, [&](net::Fd fd, int) {
+      out.push_back(net::Connection::make(loop, std::move(fd), {1U << 20U, 64U << 20U, Span::seconds(60)},
+                                          [](std::string_view in) { return in.size(); }, [](const char*) {}));
+    }));
+  loop.after(Span::seconds(0.3), [&] { loop.stop(); });
+  loop.run();
+  const std::string text(bytes / n, 'x');
+  const Instant began = net::monotonic_now();
+  for (const auto& c : out) c->send(text);
+  std::function<void()> watch = [&] {
+    if (got >= text.size() * n || (net::monotonic_now() - began).seconds() > 5) return loop.stop();
+    loop.after(Span::seconds(0.0002), watch);
+  };
+  watch();
+  loop.run();
+  const double took = (net::monotonic_now() - began).seconds();
+  stop = true;
+  sink.join();
+  return took;
+}
+
+void lead_fronts() {
+  constexpr std::size_t kFronts = 150, kLines = 100;
+  const auto in_force = [&](bool slow, double& p50, double& p99) {
+    Fronts fronts{kFronts, slow};
+    net::Loop loop;
+    Lead lead{loop, fronts.at};
+    lead.run(0.5);
+    lead.deliver(kFronts, kLines);
+    lead.until(kFronts, 5);
+    fronts.halt();
+    lead.run(0.1);
+    lead.times.clear();
+    for (int k = 0; k < 40; ++k) {
+      lead.deliver(kFronts, 10);
+      lead.until(slow ? kFronts - 1 : kFronts, 0.5);
+      lead.run(0.02);
+    }
+    std::sort(lead.times.begin(), lead.times.end());
+    p50 = at(lead.times, 0.5), p99 = at(lead.times, 0.99);
+  };
+  {
+    Fronts fronts{kFronts, false};
+    net::Loop loop;
+    Lead lead{loop, fronts.at};
+    lead.run(0.5);
+    lead.deliver(kFronts, kLines);
+    lead.until(kFronts, 5);
+    std::vector<double> times, own, bare;
+    std::size_t lines = 0;
+    for (int k = 0; k < 5; ++k) {
+      const double before = thread_seconds();
+      const Instant began = net::monotonic_now();
+      lead.deliver(kFronts, kLines);
+      lead.until(kFronts, 5);
+      times.push_back((net::monotonic_now() - began).seconds());
+      own.push_back(thread_seconds() - before);
+      lines = lead.sent;
+      bare.push_back(bare_write(kFronts, lines * std::string{"set server refill-check/w50 weight 128\n"}.size()));
+    }
+    std::sort(times.begin(), times.end()), std::sort(bare.begin(), bare.end()), std::sort(own.begin(), own.end());
+    std::printf("The driver's own processor time allows %.0f lines a second, planned, written and confirmed\n",
+                static_cast<double>(lines) / own[2]);
+    std::printf("Lines to %zu forwarders, each confirmed: %.0f a second; a bare write of the same bytes, read: %.0f (%.2f of it)\n",
+                kFronts, static_cast<double>(lines) / times[2], static_cast<double>(lines) / bare[2], bare[2] / times[2]);
+  }
+  double p50 = 0, p99 = 0, slow50 = 0, slow99 = 0;
+  in_force(false, p50, p99);
+  in_force(true, slow50, slow99);
+  std::printf("From order to in force, 10 lines to each of %zu: p50 %.2f ms, p99 %.2f ms; with one that does not answer p50 %.2f ms, "
+              "p99 %.2f ms (%.2f and %.2f of without)\n", kFronts, 1e3 * p50, 1e3 * p99, 1e3 * slow50, 1e3 * slow99, slow50 / p50, slow99 / p99);
+  // DNS answers on the loop that drives forwarders, with and without changes to all of them four times a second.
+  Rig rig{16};
+  rig.play(3);
+  dns::Front front{front_settings(rig.s), rig.core.group_map()};
+  front.publish(rig.published, rig.core.group_map());
+  const std::string srv = question("_place-order._tcp.refill.test", 33);
+  const Endpoint where = *Endpoint::parse("127.0.0.1:17355");
+  double without = 0, with = 0;
+  for (const bool changing : {false, true, false, true}) {
+    Fronts fronts{kFronts, false};
+    std::atomic<bool> stop{false}, ready{false};
+    std::thread server{[&] {
+      net::Loop loop;
+      Lead lead{loop, fronts.at};
+      net::UdpServer udp{loop, where, [&](std::span<const std::uint8_t> in, const Endpoint& from, std::span<std::uint8_t> out) {
+                           return front.answer(in, from.address, true, out).size;
+                         }};
+      std::function<void()> turn = [&] {
+        if (stop) return loop.stop();
+        if (changing) lead.deliver(kFronts, 10);
+        loop.after(Span::seconds(0.25), turn);
+      };
+      loop.after(Span::seconds(0.5), [&] { ready = true, turn(); });
+      loop.run();
+    }};
+    pin(server, 0);
+    while (!ready) std::this_thread::yield();
+    (changing ? with : without) += load_of(where, srv, 0, 1.5).per_second / 2;
+    stop = true;
+    server.join();
+  }
+  std::printf("DNS answers a second while 150 forwarders get 10 lines four times a second: %.0f, %.2f of without (%.0f)\n", with, with / without, without);
+}
+
+// With a word, only that part: answers, changes, steps or forwarders.
 int main(int argc, char** argv) {
   const std::string only = argc > 1 ? argv[1] : "";
-  for (const auto& [name, part] : {std::pair<const char*, void (*)()>{"answers", answers}, {"changes", changes}, {"steps", steps}})
+  for (const auto& [name, part] : {std::pair<const char*, void (*)()>{"answers", answers}, {"changes", changes}, {"steps", steps}, {"forwarders", lead_fronts}})
     if (only.empty() || only == name) part();
   return 0;
 }
--- a/src/forwarders/plan.hpp
+++ b/src/forwarders/plan.hpp
@@ -26,6 +26,7 @@
 struct Held {
   std::map<std::pair<std::string, std::string>, HeldLine> lines;  // by operation, by worker
   std::map<std::string, int> values;                              // levels, tries and rates, by name
+  bool operator==(const Held&) const = default;
 };
 
 struct Change {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -229,6 +229,7 @@
     if (n > 0) {
       in_.append(part.data(), static_cast<std::size_t>(n));
       offer();
+      if (fd_) flush();
     } else if (n == 0) {
       close("closed by the peer");
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
@@ -258,7 +259,7 @@
   if (unsent() + bytes.size() > limits_.write_most) return close("not reading");
   const bool idle = unsent() == 0;
   out_.append(bytes);
-  if (idle) flush();
+  if (idle && !reading_) flush();  // answers to what came together leave together
 }
 
 void Connection::flush() {
@@ -290,7 +291,7 @@
 
 void Connection::finish() {
   finishing_ = true;
-  flush();
+  if (!reading_) flush();
 }
 
 Listener::Listener(Loop& loop, const Endpoint& at, OnAccept on_accept) : loop_{loop} {
--- a/src/runtime_api/driver.cpp
+++ b/src/runtime_api/driver.cpp
@@ -41,7 +41,8 @@
   enum class Kind { prompt, info, state, read_back, stat, change };
   struct Pending {
     Kind kind = Kind::prompt;
-    Change change;
+    std::shared_ptr<const Way> way;
+    std::size_t place = 0;
   };
 
   void dial() {
@@ -64,6 +65,7 @@
     attempt_.reset();
     if (connection_) connection_->abort();
     pending_.clear();
+    changing_ = 0;
     counters_.forget();
     if (std::exchange(learned_, false)) {
       d_.hooks_.log(true, "forwarder_lost", {{"forwarder", target_.name}, {"why", why}});
@@ -74,9 +76,9 @@
     redial_ = d_.loop_.after(d_.s_.redial_after, [this] { dial(); });
   }
 
-  void ask(Kind kind, const std::string& text, Change change = {}) {
+  void ask(Kind kind, const std::string& text) {
     if (!connection_ || !connection_->open()) return;
-    pending_.push_back({kind, std::move(change)});
+    pending_.push_back({kind, {}, 0});
     if (pending_.size() == 1) wait();
     connection_->send(text + "\n");
   }
@@ -113,7 +115,7 @@
       case Kind::state:
       case Kind::read_back: return state(asked.kind, text);
       case Kind::stat: return stat(text);
-      case Kind::change: return changed(asked.change, text);
+      case Kind::change: return changed(asked.way->changes[asked.place], text);
     }
   }
 
@@ -190,15 +192,13 @@
     d_.hooks_.report(std::move(met));
   }
 
-  [[nodiscard]] bool changing() const {
-    return std::any_of(pending_.begin(), pending_.end(), [](const Pending& p) { return p.kind == Kind::change; });
-  }
+  [[nodiscard]] bool changing() const { return changing_ > 0; }
 
   // Sends what is left of the way from what it holds to what it is to hold; one plan at a time.
   void advance() {
     if (!learned_ || !wanted_ || changing() || again_.number != 0) return;
-    const auto changes = forwarders::plan(held_, *wanted_, with_values_);
-    if (changes.empty()) {
+    const auto way = d_.way(held_, wanted_, with_values_);
+    if (way->changes.empty()) {
       if (holds_ != wanted_->version) {
         holds_ = wanted_->version;
         d_.hooks_.report(coordinator::ForwarderHolds{target_.id, holds_});
@@ -206,11 +206,17 @@
       }
       return;
     }
-    sent_changes_ += changes.size();
-    for (const auto& change : changes) ask(Kind::change, command(change), change);
+    if (!connection_ || !connection_->open()) return;
+    const std::size_t n = way->changes.size();
+    sent_changes_ += n, changing_ += n;
+    const bool first = pending_.empty();
+    for (std::size_t k = 0; k < n; ++k) pending_.push_back({Kind::change, way, k});
+    if (first) wait();
+    connection_->send(way->text);
   }
 
   void changed(const Change& change, std::string_view text) {
+    --changing_;
     if (is_done(text)) {
       forwarders::apply(held_, change);
     } else {
@@ -245,7 +251,7 @@
   forwarders::Counters counters_;
   bool learned_ = false, with_values_ = true;
   std::uint64_t holds_ = 0, repairs_ = 0, refusals_ = 0;
-  std::size_t sent_changes_ = 0;
+  std::size_t sent_changes_ = 0, changing_ = 0;
   net::Loop::Timer redial_, patience_, stat_, read_back_, again_;
 };
 
@@ -255,6 +261,17 @@
 }
 Driver::~Driver() = default;
 
+std::shared_ptr<const Driver::Way> Driver::way(const Held& from,
+                                               const std::shared_ptr<const coordinator::WantedTable>& wanted,
+                                               bool with_values) {
+  for (const auto& known : {there_, last_})
+    if (known && known->wanted == wanted && known->with_values == with_values && known->from == from) return known;
+  auto fresh = std::make_shared<Way>(Way{wanted, from, with_values, forwarders::plan(from, *wanted, with_values), {}});
+  for (const auto& change : fresh->changes) fresh->text += command(change) + "\n";
+  (fresh->changes.empty() ? there_ : last_) = fresh;
+  return fresh;
+}
+
 void Driver::deliver(ProxyId forwarder, std::shared_ptr<const coordinator::WantedTable> table) {
   if (const auto it = streams_.find(forwarder); it != streams_.end()) it->second->deliver(std::move(table));
 }
--- a/src/runtime_api/driver.hpp
+++ b/src/runtime_api/driver.hpp
@@ -54,9 +54,22 @@
 
  private:
   class Stream;
+  // Forwarders bound to one table mostly hold the same, so their way to the next is worked out once.
+  struct Way {
+    std::shared_ptr<const coordinator::WantedTable> wanted;
+    forwarders::Held from;
+    bool with_values = true;
+    std::vector<forwarders::Change> changes;
+    std::string text;
+  };
+  [[nodiscard]] std::shared_ptr<const Way> way(const forwarders::Held& from,
+                                               const std::shared_ptr<const coordinator::WantedTable>& wanted,
+                                               bool with_values);
+
   net::Loop& loop_;
   DriverSettings s_;
   DriverHooks hooks_;
+  std::shared_ptr<const Way> last_, there_;  // the last that was worked out: of some changes, and of none
   std::map<ProxyId, std::unique_ptr<Stream>> streams_;
 };
 
