--- a/bench/program_bench.cpp
+++ b/bench/program_bench.cpp
@@ -385,7 +385,7 @@
   Lead(net::Loop& on, const std::vector<Endpoint>& at) : loop{on} {
     runtime_api::DriverSettings s;
     for (std::size_t k = 0; k < at.size(); ++k)
-      s.targets.push_back({ProxyId{static_cast<std::uint16_t>(30000 + k)}, "f" + std::to_string(k), at[k]});
+      s.targets.push_back({ProxyId{static_cast<std::uint16_t>(30000 + k)}, "f" + std::to_string(k), at[k], ""});
     s.operations = {"refill-check"};
     s.report_every = Span::seconds(1), s.read_back_every = Span::seconds(0.5);
     s.answer_within = Span::seconds(1), s.redial_after = Span::seconds(0.2);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -48,7 +48,7 @@
   runtime_api::DriverSettings d;
   for (std::size_t k = 0; k < s.core.forwarders.size(); ++k)
     d.targets.push_back({ProxyId{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)}, s.core.forwarders[k].name,
-                         s.runtime.forwarders[k]});
+                         s.runtime.forwarders[k].at, s.runtime.forwarders[k].path});
   for (const auto& op : s.core.operations) d.operations.push_back(op.name);
   d.report_every = s.core.report_every, d.read_back_every = s.runtime.read_back_every;
   d.answer_within = s.runtime.answer_within, d.redial_after = s.runtime.redial_after;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -173,19 +173,27 @@
   s.runtime.redial_after = in.span("redial_after", ms(500), ms(10), Span::seconds(60));
   s.core.fleet_rate = in.number("fleet_rate", 0, {0, 1e9}, "invocations/s");
   in.done();
-  std::map<Endpoint, std::string> taken;
+  std::map<std::string, std::string> taken;
   for (const auto* b : root.blocks("forwarder", 1)) {
     Section f{b->body, b->at, path_of(*b), *root.findings()};
     coordinator::Forwarder forwarder;
     forwarder.name = b->labels[0].first;
     forwarder.zone = zone_of(f, "zone", s.core.zones);
-    const Endpoint at = endpoint(f, "runtime", std::nullopt);
+    RuntimeSettings::Socket socket;
+    const std::string where = f.text("runtime", std::nullopt);
+    if (where.starts_with("unix:/") && where.size() < 100) {
+      socket.path = where.substr(5);
+    } else if (const auto at = Endpoint::parse(where)) {
+      socket.at = *at;
+    } else if (!where.empty()) {
+      f.fault(f.place("runtime"), fmt::format("'runtime' is \"{}\"; expected an address and a port, or \"unix:\" and a path", where));
+    }
     forwarder.sources = prefixes(f, "sources");
     forwarder.usual_rate = f.number("usual_rate", 1, {0, 1e9}, "invocations/s");
-    if (const auto [it, fresh] = taken.try_emplace(at, forwarder.name); !fresh)
-      f.fault(f.place("runtime"), fmt::format("{} is the socket of \"{}\" too", at.text(), it->second));
+    if (const auto [it, fresh] = taken.try_emplace(where, forwarder.name); !fresh)
+      f.fault(f.place("runtime"), fmt::format("{} is the socket of \"{}\" too", where, it->second));
     s.core.forwarders.push_back(std::move(forwarder));
-    s.runtime.forwarders.push_back(at);
+    s.runtime.forwarders.push_back(socket);
     f.done();
   }
   if (s.core.forwarders.size() > 10000) root.fault(root.at(), "more than 10000 forwarders");
@@ -287,7 +295,8 @@
   text += fmt::format("|{} {} {} {} {} {} {}|{} {} {}", c.removal_binds, c.cold_from, c.tip_multiple, c.backlog,
                       c.lines_per_second, c.per_message, c.messages_most, c.lines_most, c.addresses_most, s.tcp_most);
   for (std::size_t k = 0; k < c.forwarders.size(); ++k)
-    text += fmt::format("|{} {} {}", c.forwarders[k].name, c.forwarders[k].zone.value, s.runtime.forwarders[k].text());
+    text += fmt::format("|{} {} {} {}", c.forwarders[k].name, c.forwarders[k].zone.value, s.runtime.forwarders[k].at.text(),
+                        s.runtime.forwarders[k].path);
   return text + fmt::format("|{} {}|{} {}|{}", s.health_path, s.load_path, s.dns.hostmaster, s.dns.additional_most,
                             fmt::join(s.dns.nameservers, " "));
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -19,7 +19,11 @@
 };
 
 struct RuntimeSettings {
-  std::vector<Endpoint> forwarders;  // runtime sockets, in the order of core.forwarders
+  struct Socket {
+    Endpoint at;
+    std::string path;  // of a UNIX socket, in place of `at`
+  };
+  std::vector<Socket> forwarders;  // runtime sockets, in the order of core.forwarders
   Span read_back_every, answer_within, redial_after;
   std::string socket;                // the operators' UNIX socket; empty: none
   unsigned socket_mode = 0;
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -14,6 +14,8 @@
 // part of the time that rule 1 allows: without its start a cold one would pass for warm.
 constexpr double kIntroduction = 0.4;
 
+constexpr std::size_t kHistory = 64;  // versions: at a few a second in trouble, the last quarter of a minute
+
 const Span kForget = Span::seconds(600);  // above any client's caching that we heard of
 
 OperationId op_at(std::size_t k) { return OperationId{static_cast<std::uint8_t>(k)}; }
@@ -377,6 +379,8 @@
     Table& table = tables_[id];
     table.id = id, table.version = ++table_version_, table.made = now_;
     versions_[id] = std::make_shared<const Table>(table);
+    history_.push_back(versions_[id]);
+    if (history_.size() > kHistory) history_.pop_front();
   }
 }
 
@@ -474,6 +478,12 @@
   return all;
 }
 
+TablePtr Coordinator::table_version(std::uint64_t version) const {
+  for (const auto& table : history_)
+    if (table->version == version) return table;
+  return {};
+}
+
 std::vector<Coordinator::ProxyState> Coordinator::proxies() const {
   std::vector<ProxyState> all;
   for (const auto& [proxy, seen] : attendance_.present()) {
--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -72,6 +72,8 @@
   };
   [[nodiscard]] std::vector<ProxyState> proxies() const;
   [[nodiscard]] const std::map<TableId, TablePtr>& tables() const { return versions_; }
+  // A version of a table, while it is among the last that were made; null otherwise.
+  [[nodiscard]] TablePtr table_version(std::uint64_t version) const;
   [[nodiscard]] const Settings& settings() const { return s_; }
   [[nodiscard]] double waiting() const { return channel_.waiting(now_); }
   [[nodiscard]] bool held() const { return hold_; }
@@ -144,6 +146,7 @@
   std::optional<Instant> round_at_;
   std::map<TableId, Table> tables_;      // as ordered
   std::map<TableId, TablePtr> versions_;
+  std::deque<TablePtr> history_;         // the last versions, for people
   std::set<TableId> frozen_;             // changed since a person holds the decisions
   std::map<ProxyId, TableId> bound_;
   // For forwarders: tables with the guards already in them, since what they hold is not read anew by a front.
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -347,22 +347,48 @@
   if (!path_.empty()) ::unlink(path_.c_str());
 }
 
-std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
-                              std::function<void(Fd, int)> done) {
-  struct Attempt {
-    Loop& loop;
-    Fd fd;
-    ~Attempt() {
-      if (fd) loop.unwatch(fd.get());
-    }
-  };
+namespace {
+
+struct Attempt {
+  Loop& loop;
+  Fd fd;
+  ~Attempt() {
+    if (fd) loop.unwatch(fd.get());
+  }
+};
+using Done = std::function<void(Fd, int)>;
+
+// Tells the outcome in the next turn, never from within the call.
+std::shared_ptr<void> outcome(const std::shared_ptr<Attempt>& attempt, Fd fd, int fault, Done done) {
+  attempt->loop.soon([weak = std::weak_ptr<Attempt>{attempt}, done = std::move(done), fault,
+                      held = std::make_shared<Fd>(std::move(fd))] {
+    if (weak.lock()) done(std::move(*held), fault);
+  });
+  return attempt;
+}
+
+std::shared_ptr<void> dial(const std::shared_ptr<Attempt>& attempt, const sockaddr* to, socklen_t size, Done done) {
+  const int code = ::connect(attempt->fd.get(), to, size);
+  if (code == 0) return outcome(attempt, std::move(attempt->fd), 0, std::move(done));
+  if (errno != EINPROGRESS) return outcome(attempt, Fd{}, errno, std::move(done));
+  attempt->loop.watch(attempt->fd.get(), EPOLLOUT, [weak = std::weak_ptr<Attempt>{attempt}, done = std::move(done)](std::uint32_t) {
+    const auto strong = weak.lock();
+    if (!strong || !strong->fd) return;
+    int fault = 0;
+    socklen_t length = sizeof fault;
+    getsockopt(strong->fd.get(), SOL_SOCKET, SO_ERROR, &fault, &length);
+    const auto tell = done;  // unwatching ends this handler's own copy
+    strong->loop.unwatch(strong->fd.get());
+    Fd fd = std::move(strong->fd);
+    tell(fault == 0 ? std::move(fd) : Fd{}, fault);
+  });
+  return attempt;
+}
+
+}  // namespace
+
+std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from, Done done) {
   auto attempt = std::make_shared<Attempt>(loop, Fd{});
-  const auto give = [&](Fd fd, int fault) {
-    loop.soon([weak = std::weak_ptr<Attempt>{attempt}, done, fault, held = std::make_shared<Fd>(std::move(fd))] {
-      if (weak.lock()) done(std::move(*held), fault);
-    });
-    return attempt;
-  };
   try {
     attempt->fd = make_socket(to.address, SOCK_STREAM);
     if (from) {
@@ -370,23 +396,20 @@
       bind_to(attempt->fd, {*from, 0});
     }
   } catch (const std::system_error& fault) {
-    return give(Fd{}, fault.code().value());
+    return outcome(attempt, Fd{}, fault.code().value(), std::move(done));
   }
   const SockAddr s = to_sockaddr(to);
-  const int code = ::connect(attempt->fd.get(), reinterpret_cast<const sockaddr*>(&s.store), s.size);
-  if (code == 0) return give(std::move(attempt->fd), 0);
-  if (errno != EINPROGRESS) return give(Fd{}, errno);
-  loop.watch(attempt->fd.get(), EPOLLOUT, [weak = std::weak_ptr<Attempt>{attempt}, done](std::uint32_t) {
-    const auto strong = weak.lock();
-    if (!strong || !strong->fd) return;
-    int fault = 0;
-    socklen_t size = sizeof fault;
-    getsockopt(strong->fd.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
-    strong->loop.unwatch(strong->fd.get());
-    Fd fd = std::move(strong->fd);
-    done(fault == 0 ? std::move(fd) : Fd{}, fault);
-  });
-  return attempt;
+  return dial(attempt, reinterpret_cast<const sockaddr*>(&s.store), s.size, std::move(done));
+}
+
+std::shared_ptr<void> connect(Loop& loop, const std::string& path, Done done) {
+  auto attempt = std::make_shared<Attempt>(loop, Fd{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)});
+  sockaddr_un a{};
+  a.sun_family = AF_UNIX;
+  if (!attempt->fd || path.size() >= sizeof a.sun_path)
+    return outcome(attempt, Fd{}, attempt->fd ? ENAMETOOLONG : errno, std::move(done));
+  std::memcpy(a.sun_path, path.data(), path.size());
+  return dial(attempt, reinterpret_cast<const sockaddr*>(&a), sizeof a, std::move(done));
 }
 
 }  // namespace gorsemount::net
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -116,6 +116,9 @@
 [[nodiscard]] std::shared_ptr<void> connect(Loop& loop, const Endpoint& to, std::optional<Address> from,
                                             std::function<void(Fd, int fault)> done);
 
+// The same to a UNIX socket.
+[[nodiscard]] std::shared_ptr<void> connect(Loop& loop, const std::string& path, std::function<void(Fd, int)> done);
+
 // A bound non-blocking UDP socket. Throws std::system_error.
 [[nodiscard]] Fd udp_socket(const Endpoint& at);
 
--- a/src/runtime_api/driver.cpp
+++ b/src/runtime_api/driver.cpp
@@ -46,7 +46,7 @@
   };
 
   void dial() {
-    attempt_ = net::connect(d_.loop_, target_.at, {}, [this](net::Fd fd, int) {
+    const auto stands = [this](net::Fd fd, int) {
       d_.loop_.cancel(patience_);
       attempt_.reset();
       if (!fd) return lost("no connection");
@@ -56,7 +56,9 @@
       ask(Kind::prompt, "prompt");
       ask(Kind::info, "show info");
       ask(Kind::state, "show servers state");
-    });
+    };
+    attempt_ = target_.path.empty() ? net::connect(d_.loop_, target_.at, {}, stands)
+                                    : net::connect(d_.loop_, target_.path, stands);
     patience_ = d_.loop_.after(d_.s_.answer_within, [this] { lost("no connection in time"); });
   }
 
--- a/src/runtime_api/driver.hpp
+++ b/src/runtime_api/driver.hpp
@@ -21,6 +21,7 @@
     ProxyId id;
     std::string name;
     Endpoint at;
+    std::string path;  // of a UNIX socket, in place of `at`
   };
   std::vector<Target> targets;
   std::vector<std::string> operations;
--- a/src/runtime_api/operators.cpp
+++ b/src/runtime_api/operators.cpp
@@ -23,7 +23,7 @@
 };
 constexpr Known kCommands[] = {
     {"help", "this list"},
-    {"show table [ID]", "lines and levels of the tables as ordered, newest version"},
+    {"show table [VERSION]", "lines and levels of the tables as ordered; without a version, the newest of each"},
     {"show zones", "listed and ordered weight by zone"},
     {"show backend [NAME]", "what is known of a backend, and who says so"},
     {"show ladder", "backends and zones below their full share"},
@@ -129,8 +129,14 @@
     std::map<BackendId, std::string> names;
     for (const auto& b : core_.backends())
       if (const auto id = core_.id_of(b.name)) names[*id] = b.name;
-    for (const auto& [id, table] : core_.tables()) {
-      if (!which.empty() && which != std::to_string(id.value)) continue;
+    std::vector<std::pair<TableId, coordinator::TablePtr>> tables{core_.tables().begin(), core_.tables().end()};
+    if (!which.empty()) {
+      tables.clear();
+      const auto old = core_.table_version(std::strtoull(which.c_str(), nullptr, 10));
+      if (!old) return fmt::format("No table of version '{}' among the last that were made.\n", which);
+      tables.emplace_back(old->id, old);
+    }
+    for (const auto& [id, table] : tables) {
       for (const auto& [backend, weight] : table->lines)
         rows.push_back({{"table", std::to_string(id.value)}, {"version", std::to_string(table->version)},
                         {"backend", names[backend]}, {"weight", number(weight)}});
@@ -138,7 +144,6 @@
         rows.push_back({{"table", std::to_string(id.value)}, {"version", std::to_string(table->version)},
                         {"backend", "level " + core_.settings().operations[k].name}, {"weight", number(table->levels[k].level)}});
     }
-    if (rows.empty() && !which.empty()) return fmt::format("No table '{}'.\n", which);
   } else if (what == "zones") {
     std::map<std::string, std::pair<double, double>> zones;
     double all = 0;
--- a/src/standins/day.cpp
+++ b/src/standins/day.cpp
@@ -87,7 +87,8 @@
     day.phases.push_back(p);
   }
   const std::vector<std::string> kinds{"crash", "hang", "errors", "slow", "silent", "refuse", "drain",
-                                       "forwarder_restart", "forwarder_refuse", "forwarder_slow", "forwarder_lie", "streams"};
+                                       "forwarder_restart", "forwarder_refuse", "forwarder_slow", "forwarder_lie",
+                                       "forwarder_half", "streams"};
   for (const auto* b : root.blocks("trouble", 1)) {
     config::Section in = section_of(*b, root);
     Trouble t;
--- a/src/standins/day.hpp
+++ b/src/standins/day.hpp
@@ -47,7 +47,7 @@
 enum class TroubleKind {
   crash, hang, errors, slow, silent, refuse, drain,
   // of forwarders
-  forwarder_restart, forwarder_refuse, forwarder_slow, forwarder_lie, streams
+  forwarder_restart, forwarder_refuse, forwarder_slow, forwarder_lie, forwarder_half, streams
 };
 struct Trouble {
   std::string name, zone;  // zone empty: all
--- a/src/standins/forwarder.cpp
+++ b/src/standins/forwarder.cpp
@@ -98,7 +98,8 @@
     return fmt::format("Name: HAProxy\nVersion: stand-in\nUptime_sec: {:.0f}\nnode: {}\n", (loop_.now() - started_).seconds(), s_.name);
   if (is({"show", "servers", "state"})) {
     if (led_by_.insert(peer).second) recorder_.write(loop_.now(), "joined", {{"forwarder", s_.name}});
-    return servers_state();
+    const std::string whole = servers_state();
+    return fault_ == TroubleKind::forwarder_half ? whole.substr(0, whole.size() * 5 / 8) : whole;
   }
   if (is({"show", "stat"})) return stat();
   const bool changes = is({"set"}) || is({"add"}) || is({"del"}) || is({"enable"}) || is({"disable"});
--- a/tests/days/unsafe-cold.hcl
+++ b/tests/days/unsafe-cold.hcl
@@ -51,6 +51,12 @@
   count = 6
   rate  = 5
 }
+forwarders "kariakoo" {
+  zone    = "kariakoo"
+  count   = 2
+  clients = 4
+  rate    = 4
+}
 trouble "crash" {
   kind  = "crash"
   zone  = "ubungo"
--- a/tests/runtime_api/driver_test.cpp
+++ b/tests/runtime_api/driver_test.cpp
@@ -40,7 +40,7 @@
       standins::ForwarderSettings f{"f" + std::to_string(k), "a", *Endpoint::parse(ip + ":18000"), *Endpoint::parse(ip + ":19999"),
                                     {op}, {{"w0", "a", *Endpoint::parse("127.6.0.1:9000"), 1, false}}, false};
       forwarders.push_back(std::make_unique<Forwarder>(loop, recorder, f, k));
-      s.targets.push_back({ProxyId{static_cast<std::uint16_t>(30000 + k)}, f.name, f.runtime});
+      s.targets.push_back({ProxyId{static_cast<std::uint16_t>(30000 + k)}, f.name, f.runtime, ""});
     }
     s.operations = {"read"};
     s.report_every = Span::seconds(0.05), s.read_back_every = Span::seconds(0.1);
@@ -130,6 +130,28 @@
   EXPECT_EQ(s.weight(0, "w0"), 0);
 }
 
+TEST(Driver, LeadsOverAUnixSocketToo) {
+  net::Loop loop;
+  forwarders::Held seen;
+  CommandServer server{loop, [&](std::uint64_t, const std::string& c, const std::string&) -> std::string {
+                         if (c == "show servers state")
+                           return "1\n# be_name srv_name srv_addr srv_admin_state srv_uweight srv_port\nread w0 127.6.0.1 0 7 9000\n";
+                         return c == "show stat" ? "# pxname,svname,stot\n" : "";
+                       }, {}};
+  const std::string path = (std::filesystem::temp_directory_path() / ("driver-" + std::to_string(getpid()))).string();
+  server.listen(path, 0600);
+  DriverSettings s{{{ProxyId{30000}, "f", {}, path}}, {"read"}, Span::seconds(1), Span::seconds(1), Span::seconds(0.5), Span::seconds(0.1)};
+  std::unique_ptr<Driver> driver;
+  std::uint64_t holds = 0;
+  driver = std::make_unique<Driver>(loop, s, DriverHooks{[&](coordinator::Input i) {
+                                      if (std::holds_alternative<coordinator::ForwarderJoined>(i)) driver->deliver(ProxyId{30000}, table(5, {1, 1}));
+                                    }, [](const std::string&) { return std::nullopt; }, [](bool, const std::string&, const auto&) {},
+                                    [&](ProxyId, std::uint64_t version, Span, std::size_t) { holds = version; }});
+  loop.after(Span::seconds(0.1), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(holds, 5U);
+}
+
 TEST(Driver, FindsAndRepairsWhatSomebodyElseChanged) {
   Stage s{1};
   s.deliver(table(1, {1, 1}));
@@ -168,6 +190,19 @@
   EXPECT_EQ(s.weight(0, "w3"), 128);
 }
 
+TEST(Driver, HalfAnAnswerIsNotTakenForTheWhole) {
+  Stage s{1};
+  s.run(0.1);
+  s.deliver(table(1, {1, 1, 1, 1, 1, 1, 1, 1}));
+  s.run(0.1);
+  s.forwarders[0]->fault(TroubleKind::forwarder_half);
+  s.run(0.6);
+  s.forwarders[0]->fault(std::nullopt);
+  s.run(0.8);
+  for (int k = 0; k < 8; ++k) EXPECT_EQ(s.weight(0, "w" + std::to_string(k)), 256);
+  EXPECT_GE(s.left + s.events["forwarder_drifted"], 1);
+}
+
 TEST(Driver, RefusedCommandsAreSaidAndTriedAgain) {
   Stage s{1};
   s.run(0.1);
@@ -275,6 +310,7 @@
 };
 
 TEST_F(Desk, ShowsWhatIs) {
+  EXPECT_NE(ask("show table 1").find("w11"), std::string::npos);
   EXPECT_NE(ask("show backend w3").find("127.0.1.4:9000"), std::string::npos);
   EXPECT_NE(ask("show zones").find("0.3333"), std::string::npos);
   EXPECT_NE(ask("show table").find("w11"), std::string::npos);
@@ -390,6 +426,40 @@
   }
 }
 
+// Forwarders of two zones contradict each other about a third's workers: the way is to blame, not the workers.
+TEST(Fronts, ContradictingReportsAreAnsweredByTheLink) {
+  auto s = coordinator::some_settings();
+  s.groups.resize(1), s.groups[0].name = "elsewhere", s.groups[0].sources.clear();
+  for (std::uint16_t k = 0; k < 4; ++k) s.forwarders.push_back({"f" + std::to_string(k), ZoneId{static_cast<std::uint16_t>(k % 2)}, {}, 60});
+  coordinator::Rig rig{12, s};
+  rig.rate = 0;
+  std::map<ProxyId, std::shared_ptr<const WantedTable>> held;
+  for (int round = 0; round < 24; ++round) {
+    std::vector<coordinator::Input> inputs;
+    for (std::uint16_t k = 0; k < 4; ++k) {
+      const ProxyId id{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)};
+      inputs.emplace_back(coordinator::ForwarderJoined{id});
+      coordinator::ForwarderMet met{id, {}, {{OperationId{0}, 30}}};
+      for (unsigned w = 0; w < 12; ++w)
+        met.rows.push_back({*rig.core.id_of("w" + std::to_string(w)), OperationId{0}, 8, k % 2 == 0 && w % 3 == 2 && round > 8 ? 8 : 0,
+                            Span::seconds(0.2)});
+      inputs.emplace_back(std::move(met));
+    }
+    rig.step(inputs);
+    rig.seconds(0.5);
+    for (const auto& d : rig.deliveries) held[d.forwarder] = d.table;
+    rig.deliveries.clear();
+  }
+  const auto lines_of_c = [&](std::uint16_t k) {
+    std::size_t n = 0;
+    for (const auto& line : held[ProxyId{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)}]->parts[0].lines)
+      n += std::stoi(line.name.substr(1)) % 3 == 2;
+    return n;
+  };
+  EXPECT_EQ(lines_of_c(0), 0U);
+  EXPECT_EQ(lines_of_c(1), 4U);
+}
+
 // 150 forwarders that join at once: the channel and the cap on messages hold, and all are led in the end.
 TEST(Fronts, AStormOfJoinsKeepsTheChannel) {
   auto s = coordinator::some_settings();
