--- a/bench/program_bench.cpp
+++ b/bench/program_bench.cpp
@@ -393,7 +393,7 @@
         loop, s,
         runtime_api::DriverHooks{[this](Input i) { joined += std::holds_alternative<coordinator::ForwarderJoined>(i) ? 1 : 0; },
                                  [](const std::string&) { return std::nullopt; },
-                                 [](bool, const std::string&, const std::vector<std::pair<std::string, std::string>>&) {},
+                                 [](bool, const std::string&, const std::vector<std::pair<std::string, std::string>>&) {}, {},
                                  [this](ProxyId, std::uint64_t version, Span took, std::size_t changes) {
                                    if (version == want) ++in_force, times.push_back(took.seconds()), sent += changes;
                                  }});
--- a/src/app/day.cpp
+++ b/src/app/day.cpp
@@ -87,6 +87,7 @@
     std::ofstream{folder_ + "/roster.hcl"} << standins::roster_text(standins::roster_of(day_, places_));
     for (std::size_t k = 1; k <= day_.coordinators.size(); ++k)
       std::ofstream{settings(k)} << standins::coordinator_settings(day_, places_, k, folder_);
+    if (day_.shared) std::ofstream{folder_ + "/keys"} << "1 " << std::string(64, '5') << "\n";  // of this day only
     coordinators_.resize(day_.coordinators.size());
   }
 
@@ -100,8 +101,20 @@
     for (const auto& kill : day_.kills)
       for (std::size_t k = 1; k <= coordinators_.size(); ++k)
         if (kill.coordinator == "pwani-" + std::to_string(k)) {
-          loop.at(begin + kill.at, [this, k] { coordinators_[k - 1].reset(); });
-          loop.at(begin + kill.at + kill.lasts, [this, k] { start_coordinator(k); });
+          loop.at(begin + kill.at, [this, k, &kill] {
+            if (kill.pause) {
+              coordinators_[k - 1]->end(SIGSTOP);
+            } else {
+              coordinators_[k - 1].reset();
+            }
+          });
+          loop.at(begin + kill.at + kill.lasts, [this, k, &kill] {
+            if (kill.pause) {
+              coordinators_[k - 1]->end(SIGCONT);
+            } else {
+              start_coordinator(k);
+            }
+          });
         }
   }
   // True once the stand-ins are done.
@@ -151,6 +164,7 @@
                                     v.worst, v.limit, v.unit, v.detail).c_str());
   for (const auto& [what, r] : {std::pair{"a worker's crash to the first list without it", &a.crash_to_answer},
                                 {"a worker's crash to the last list with it", &a.crash_to_last},
+                                {"a forwarder's losing its leader to the next", &a.unled},
                                 {"a table's leaving the channel to in force", &a.in_force},
                                 {"a drain to the last invocation sent there", &a.drain_to_last}})
     if (!r->seconds.empty())
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/stat.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -10,6 +11,7 @@
 
 #include "app/exit_codes.hpp"
 #include "app/records.hpp"
+#include "cluster/cluster.hpp"
 #include "config/settings.hpp"
 #include "coordinator/baseline.hpp"
 #include "coordinator/coordinator.hpp"
@@ -17,6 +19,7 @@
 #include "hears/prober.hpp"
 #include "log/log.hpp"
 #include "net/loop.hpp"
+#include "peers/links.hpp"
 #include "runtime_api/command_server.hpp"
 #include "runtime_api/operators.hpp"
 
@@ -50,6 +53,7 @@
     d.targets.push_back({ProxyId{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)}, s.core.forwarders[k].name,
                          s.runtime.forwarders[k].at, s.runtime.forwarders[k].path});
   for (const auto& op : s.core.operations) d.operations.push_back(op.name);
+  d.shared = !s.cluster.members.empty();
   d.report_every = s.core.report_every, d.read_back_every = s.runtime.read_back_every;
   d.answer_within = s.runtime.answer_within, d.redial_after = s.runtime.redial_after;
   return d;
@@ -77,6 +81,7 @@
                 {[this](Input input) { take(std::move(input)); },
                  [this](const std::string& name) { return core_.id_of(name); },
                  [this](bool warning, const std::string& event, const log::Fields& fields) { say(warning, event, fields); },
+                 [this](ProxyId id) { return !cluster_ || cluster_->leads(shard_of(id), net::monotonic_now()).has_value(); },
                  [this](ProxyId id, std::uint64_t version, Span took, std::size_t changes) {
                    records_.in_force(id, version, took, changes);
                  }}} {}
@@ -94,7 +99,7 @@
     log_.event(log::Level::info, "listening",
                {{"at", s_.listen.text()}, {"origin", s_.dns.origin}, {"zone", s_.zone_name},
                 {"lifetime", config::span_text(coordinator::answer_lifetime(s_.core))}});
-    if (!open_operators()) return kCannotListen;
+    if (!open_operators() || !join_cluster()) return kCannotListen;
     loop_.on_signal(SIGTERM, [this] { stop(); });
     loop_.on_signal(SIGINT, [this] { stop(); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -164,6 +169,94 @@
     }
   }
 
+  [[nodiscard]] cluster::ShardId shard_of(ProxyId forwarder) const {
+    return cluster_->shard_of(s_.core.forwarders[forwarder.value - coordinator::kFirstForwarder].name);
+  }
+
+  bool join_cluster() {
+    const auto& c = s_.cluster;
+    if (c.members.empty()) return true;
+    try {
+      std::vector<hcl::Fault> faults;
+      auto keys = cluster::read_keys(config::read_file(c.key_file, faults));
+      cluster::ClusterSettings settings;
+      std::map<cluster::MemberId, Endpoint> others;
+      Endpoint own;
+      for (std::size_t k = 0; k < c.members.size(); ++k) {
+        const cluster::MemberId id{static_cast<std::uint16_t>(k)};
+        settings.members.push_back(id);
+        if (c.members[k].first == c.member) {
+          settings.self = id, own = c.members[k].second;
+        } else {
+          others[id] = c.members[k].second;
+        }
+      }
+      // The wall clock, once: terms and starts have to grow from one life to the next.
+      const auto wall = static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+      settings.shards = static_cast<std::size_t>(c.shards), settings.floor = {wall};
+      settings.lease.length = c.lease, settings.lease.drift = c.drift;
+      settings.lease.renew_before = c.lease * 0.67, settings.lease.ask_again = c.lease * 0.1;
+      settings.seed = s_.core.seed + settings.self.value;
+      frames_.emplace(settings.self, wall, std::move(keys));
+      cluster_.emplace(std::move(settings), net::monotonic_now());
+      links_ = std::make_unique<peers::Links>(
+          loop_, *frames_, own, std::move(others),
+          [this](const cluster::Message& m) {
+            cluster_->receive(net::monotonic_now(), m);
+            tick_cluster();
+          },
+          [this](const std::string& from, const char* why) { say(true, "frame_dropped", {{"from", from}, {"why", why}}); });
+      log_.event(log::Level::info, "cluster_joined", {{"member", c.member}, {"members", std::to_string(c.members.size())}});
+      if (operators_)
+        operators_->in_cluster([this] { return cluster_rows(); }, [this] {
+          const auto n = cluster_->hand_over_all(net::monotonic_now());
+          tick_cluster();
+          log_.event(log::Level::info, "handed_over", {{"shards", std::to_string(n)}});
+          return std::string{};
+        });
+      tick_cluster();
+      return true;
+    } catch (const std::exception& fault) {
+      log_.event(log::Level::error, "cannot_listen", {{"at", "cluster"}, {"why", fault.what()}});
+      return false;
+    }
+  }
+
+  [[nodiscard]] runtime_api::Operators::Rows cluster_rows() const {
+    constexpr const char* standings[] = {"alive", "suspected", "gone"};
+    runtime_api::Operators::Rows rows;
+    for (std::size_t k = 0; k < s_.cluster.members.size(); ++k) {
+      const auto& [name, at] = s_.cluster.members[k];
+      const auto standing = cluster_->standing({static_cast<std::uint16_t>(k)});
+      rows.push_back({{"kind", "member"}, {"name", name}, {"standing", standings[static_cast<std::size_t>(standing)]},
+                      {"at", at.text()}, {"term", name == s_.cluster.member ? "self" : "-"}});
+    }
+    for (const auto& [id, term] : led_)
+      rows.push_back({{"kind", "forwarder"}, {"name", s_.core.forwarders[id.value - coordinator::kFirstForwarder].name},
+                      {"standing", term ? "led here" : "led elsewhere"}, {"at", "shard " + std::to_string(shard_of(id).value)},
+                      {"term", term ? std::to_string(term->value) : "-"}});
+    return rows;
+  }
+
+  void tick_cluster() {
+    for (const auto& m : cluster_->tick(net::monotonic_now())) links_->send(m);
+    loop_.cancel(cluster_wake_);
+    // Leases end by the clock: looked at often enough that a stream outlives its lease by little; may_order asks anew.
+    cluster_wake_ = loop_.at(std::min(cluster_->wake_at(), loop_.now() + Span::seconds(0.05)), [this] { tick_cluster(); });
+    for (std::size_t k = 0; k < s_.core.forwarders.size(); ++k) {
+      const ProxyId id{static_cast<std::uint16_t>(coordinator::kFirstForwarder + k)};
+      const auto term = cluster_->leads(shard_of(id), net::monotonic_now());
+      auto& was = led_[id];
+      if (was == term) continue;
+      if (was.has_value() != term.has_value())
+        log_.event(log::Level::info, term ? "leads" : "leads_no_more",
+                   {{"forwarder", s_.core.forwarders[k].name}, {"term", std::to_string(term ? term->value : was->value)}});
+      was = term;
+      driver_.lead(id, term ? std::optional{term->value} : std::nullopt);
+    }
+  }
+
   std::string ordered(const coordinator::PersonOrders& order) {
     inputs_.emplace_back(order);
     step();
@@ -251,8 +344,13 @@
 
   void stop() {
     if (std::exchange(stopping_, true)) return loop_.stop();
+    if (cluster_) {
+      // What it leads goes to the next at once, without waiting out the lease.
+      cluster_->hand_over_all(net::monotonic_now());
+      tick_cluster();
+    }
     server_->stop();
-    if (server_->connections() == 0) return loop_.stop();
+    if (server_->connections() == 0 && !cluster_) return loop_.stop();
     loop_.after(kLastWords, [this] { loop_.stop(); });
   }
 
@@ -268,6 +366,11 @@
   std::vector<Input> inputs_;
   std::vector<Instant> seen_;
   std::vector<std::string> answers_;
+  std::optional<cluster::Frames> frames_;
+  std::optional<cluster::Cluster> cluster_;
+  std::unique_ptr<peers::Links> links_;
+  std::map<ProxyId, std::optional<cluster::Term>> led_;
+  net::Loop::Timer cluster_wake_;
   runtime_api::Driver driver_;
   std::optional<runtime_api::Operators> operators_;
   std::unique_ptr<runtime_api::CommandServer> socket_, tcp_;
--- /dev/null
+++ b/src/cluster/cluster.hpp
@@ -0,0 +1,61 @@
+// One controller's part in a shared fleet: membership and leases together, and which shard a forwarder is in.
+#pragma once
+
+#include <string>
+
+#include "cluster/leases.hpp"
+#include "cluster/membership.hpp"
+
+namespace gorsemount::cluster {
+
+struct ClusterSettings {
+  MemberId self;
+  std::vector<MemberId> members;  // all of them
+  std::size_t shards = 8;
+  MembershipSettings membership;
+  LeaseSettings lease;
+  std::uint64_t seed = 0;
+  Term floor;  // see Leases
+};
+
+class Cluster {
+ public:
+  Cluster(ClusterSettings settings, Instant now)
+      : shards_{settings.shards},
+        membership_{settings.self, settings.members, settings.membership, settings.seed, now},
+        leases_{settings.self, settings.members, settings.shards, with_members(settings), now, settings.floor} {}
+
+  void receive(Instant now, const Message& message) {
+    membership_.receive(now, message);
+    leases_.receive(now, message);
+  }
+  [[nodiscard]] std::vector<Message> tick(Instant now) {
+    auto out = membership_.tick(now);
+    for (auto& m : leases_.tick(now, membership_.alive())) {
+      m.rumours = membership_.rumours();
+      out.push_back(std::move(m));
+    }
+    return out;
+  }
+  [[nodiscard]] Instant wake_at() const { return std::min(membership_.wake_at(), leases_.wake_at()); }
+
+  [[nodiscard]] ShardId shard_of(const std::string& forwarder) const;
+  [[nodiscard]] std::optional<Term> leads(ShardId shard, Instant now) const { return leases_.leads(shard, now); }
+  [[nodiscard]] std::size_t shards() const { return shards_; }
+  [[nodiscard]] Standing standing(MemberId member) const { return membership_.standing(member); }
+  void learn(Instant now, ShardId shard, Term term) { leases_.learn(now, shard, term); }
+  // Everything that it leads, to whoever is next; for a planned stop. Returns how many shards that were.
+  std::size_t hand_over_all(Instant now);
+
+ private:
+  static LeaseSettings with_members(const ClusterSettings& s) {
+    LeaseSettings lease = s.lease;
+    lease.members = s.members.size();
+    return lease;
+  }
+  std::size_t shards_;
+  Membership membership_;
+  Leases leases_;
+};
+
+}  // namespace gorsemount::cluster
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -217,6 +217,30 @@
   operators.done();
 }
 
+void read_cluster(Section& root, ServeSettings& s) {
+  std::vector<std::string> names;
+  for (const auto* b : root.blocks("member", 1)) {
+    Section in{b->body, b->at, path_of(*b), *root.findings()};
+    names.push_back(b->labels[0].first);
+    s.cluster.members.emplace_back(names.back(), endpoint(in, "address", std::nullopt));
+    in.done();
+  }
+  Section in = root.only("cluster");
+  if (names.empty()) {
+    if (!in.text("member", "").empty()) in.fault(in.place("member"), "no member is named; expected blocks: member \"name\" { ... }");
+    static_cast<void>(in.text("key_file", ""));
+  } else {
+    s.cluster.member = names[in.word("member", names, std::nullopt)];
+    s.cluster.key_file = in.text("key_file", std::nullopt);
+    if (names.size() == 2) in.fault(in.at(), "two members: neither is a majority without the other; expected 1, or 3 and more");
+    if (names.size() > 100) in.fault(in.at(), "more than 100 members");
+  }
+  s.cluster.shards = static_cast<int>(in.number("shards", 8, {1, 1024, true}));
+  s.cluster.lease = in.span("lease", Span::seconds(3), ms(300), Span::seconds(60));
+  s.cluster.drift = in.number("drift", 0.01, {0.0001, 0.2});
+  in.done();
+}
+
 }  // namespace
 
 ServeSettings read_settings(const std::string& text, const std::string& file, Findings& findings) {
@@ -267,6 +291,7 @@
   hears.done();
 
   read_runtime(root, s);
+  read_cluster(root, s);
   Section log = root.only("log");
   const std::vector<std::string> levels{"debug", "info", "warning", "error"};
   s.log_level = levels[log.word("level", levels, 1)];
@@ -297,6 +322,8 @@
   for (std::size_t k = 0; k < c.forwarders.size(); ++k)
     text += fmt::format("|{} {} {} {}", c.forwarders[k].name, c.forwarders[k].zone.value, s.runtime.forwarders[k].at.text(),
                         s.runtime.forwarders[k].path);
+  text += fmt::format("|{} {} {} {} {}", s.cluster.member, s.cluster.key_file, s.cluster.shards, span_text(s.cluster.lease), s.cluster.drift);
+  for (const auto& [name, at] : s.cluster.members) text += "|" + name + " " + at.text();
   return text + fmt::format("|{} {}|{} {}|{}", s.health_path, s.load_path, s.dns.hostmaster, s.dns.additional_most,
                             fmt::join(s.dns.nameservers, " "));
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -31,12 +31,23 @@
   std::string token_file;
 };
 
+// A shared fleet; without members a coordinator stands alone.
+struct ClusterSettings {
+  std::string member;  // which of them this is
+  std::vector<std::pair<std::string, Endpoint>> members;
+  std::string key_file;
+  int shards = 0;
+  Span lease;
+  double drift = 0;
+};
+
 struct ServeSettings {
   std::string name;
   std::string zone_name;
   coordinator::Settings core;
   DnsSettings dns;
   RuntimeSettings runtime;
+  ClusterSettings cluster;
   Endpoint listen;
   int tcp_most = 0;       // TCP connections at one time
   Span tcp_idle;          // RFC 7766, section 6.2.3
--- a/src/runtime_api/driver.cpp
+++ b/src/runtime_api/driver.cpp
@@ -20,12 +20,25 @@
 
 class Driver::Stream {
  public:
-  Stream(Driver& driver, DriverSettings::Target target) : d_{driver}, target_{std::move(target)} { dial(); }
+  Stream(Driver& driver, DriverSettings::Target target) : d_{driver}, target_{std::move(target)}, led_{!driver.s_.shared} {
+    if (led_) dial();
+  }
   ~Stream() {
     for (auto* timer : {&redial_, &patience_, &stat_, &read_back_, &again_}) d_.loop_.cancel(*timer);
     if (connection_) connection_->abort();
   }
 
+  void lead(std::optional<std::uint64_t> term) {
+    if (term == term_ && term.has_value() == led_) return;
+    term_ = term;
+    led_ = term.has_value();
+    // A new term is a new stream: the forwarder is learned anew, and told under which term it is led.
+    lost(led_ ? "a new term" : "no longer led");
+    if (!led_) return;
+    d_.loop_.cancel(redial_);
+    dial();
+  }
+
   void deliver(std::shared_ptr<const coordinator::WantedTable> table) {
     wanted_ = std::move(table);
     wanted_at_ = d_.loop_.now();
@@ -54,6 +67,7 @@
           d_.loop_, std::move(fd), {kAnswerMost, 4U << 20U, Span::seconds(3600)},
           [this](std::string_view bytes) { return data(bytes); }, [this](const char* why) { lost(why); });
       ask(Kind::prompt, "prompt");
+      if (term_) ask(Kind::info, "set var proc.gm_term int(" + std::to_string(*term_) + ")");
       ask(Kind::info, "show info");
       ask(Kind::state, "show servers state");
     };
@@ -75,7 +89,7 @@
     }
     wanted_.reset();  // what is wanted is told anew once it has joined
     d_.loop_.cancel(redial_);
-    redial_ = d_.loop_.after(d_.s_.redial_after, [this] { dial(); });
+    if (led_) redial_ = d_.loop_.after(d_.s_.redial_after, [this] { dial(); });
   }
 
   void ask(Kind kind, const std::string& text) {
@@ -209,6 +223,7 @@
       return;
     }
     if (!connection_ || !connection_->open()) return;
+    if (d_.hooks_.may_order && !d_.hooks_.may_order(target_.id)) return;
     const std::size_t n = way->changes.size();
     sent_changes_ += n, changing_ += n;
     const bool first = pending_.empty();
@@ -251,7 +266,8 @@
   std::shared_ptr<const coordinator::WantedTable> wanted_;
   Instant wanted_at_;
   forwarders::Counters counters_;
-  bool learned_ = false, with_values_ = true;
+  std::optional<std::uint64_t> term_;
+  bool led_ = true, learned_ = false, with_values_ = true;
   std::uint64_t holds_ = 0, repairs_ = 0, refusals_ = 0;
   std::size_t sent_changes_ = 0, changing_ = 0;
   net::Loop::Timer redial_, patience_, stat_, read_back_, again_;
@@ -274,6 +290,10 @@
   return fresh;
 }
 
+void Driver::lead(ProxyId forwarder, std::optional<std::uint64_t> term) {
+  if (const auto it = streams_.find(forwarder); it != streams_.end()) it->second->lead(term);
+}
+
 void Driver::deliver(ProxyId forwarder, std::shared_ptr<const coordinator::WantedTable> table) {
   if (const auto it = streams_.find(forwarder); it != streams_.end()) it->second->deliver(std::move(table));
 }
--- a/src/runtime_api/driver.hpp
+++ b/src/runtime_api/driver.hpp
@@ -25,6 +25,7 @@
   };
   std::vector<Target> targets;
   std::vector<std::string> operations;
+  bool shared = false;  // nobody is led until lead() says so
   Span report_every, read_back_every, answer_within, redial_after;
 };
 
@@ -32,6 +33,8 @@
   std::function<void(coordinator::Input)> report;
   std::function<std::optional<BackendId>(const std::string&)> backend_of;
   std::function<void(bool warning, const std::string& event, std::vector<std::pair<std::string, std::string>>)> log;
+  // Asked before each change, since a lease ends by the clock; absent: always.
+  std::function<bool(ProxyId)> may_order;
   // A version came into force at a forwarder, so long after it was handed over.
   std::function<void(ProxyId, std::uint64_t version, Span took, std::size_t changes)> in_force;
 };
@@ -43,6 +46,9 @@
   Driver(const Driver&) = delete;
   Driver& operator=(const Driver&) = delete;
 
+  // In a shared fleet: with a term the forwarder is led, under it; without one its stream is given up. Alone, all
+  // are led, without terms.
+  void lead(ProxyId forwarder, std::optional<std::uint64_t> term);
   void deliver(ProxyId forwarder, std::shared_ptr<const coordinator::WantedTable> table);
 
   struct Status {
--- a/src/runtime_api/operators.cpp
+++ b/src/runtime_api/operators.cpp
@@ -30,6 +30,8 @@
     {"show proxies", "client groups and forwarders: table, versions ordered and held"},
     {"show channel", "lines waiting, most so far, held back"},
     {"show errors", "the last warnings"},
+    {"show cluster", "members, their standing, and who leads which forwarder here"},
+    {"hand-over", "gives what this one leads to the others, at once"},
     {"set weight NAME W [for SPAN]", "a listed weight, for 10m if not said"},
     {"drain zone ZONE", "steps the zone's share down to nothing"},
     {"undrain zone ZONE", "and back in trial steps"},
@@ -180,6 +182,9 @@
     rows.push_back({{"waiting", number(core_.waiting())}, {"most", number(c.most_waiting)}, {"backlog", number(s.backlog)},
                     {"messages", std::to_string(c.messages)}, {"held_back", std::to_string(c.held_back)},
                     {"hold", core_.held() ? "yes" : "no"}});
+  } else if (what == "cluster") {
+    if (!cluster_) return "No cluster: this coordinator stands alone.\n";
+    rows = cluster_();
   } else if (what == "errors") {
     rows.assign(errors_.begin(), errors_.end());
   } else {
@@ -197,6 +202,7 @@
       if (words[k++] != word) return false;
     return true;
   };
+  if (is(1, {"hand-over"})) return hand_over_ ? hand_over_() : "No cluster: this coordinator stands alone.\n";
   PersonOrders o;
   if (is(4, {"set", "weight"}) || (is(6, {"set", "weight"}) && words[4] == "for")) {
     char* end = nullptr;
--- a/src/runtime_api/operators.hpp
+++ b/src/runtime_api/operators.hpp
@@ -19,6 +19,12 @@
   Operators(const coordinator::Coordinator& core, std::function<std::string(coordinator::PersonOrders)> order,
             std::function<std::vector<Driver::Status>()> forwarders, std::string token);
 
+  // What a shared fleet adds: `show cluster` rows, and `hand-over`. Absent: the coordinator stands alone.
+  using Rows = std::vector<std::vector<std::pair<std::string, std::string>>>;
+  void in_cluster(std::function<Rows()> show, std::function<std::string()> hand_over) {
+    cluster_ = std::move(show), hand_over_ = std::move(hand_over);
+  }
+
   [[nodiscard]] std::string handle(std::uint64_t peer, bool trusted, const std::string& command);
   void gone(std::uint64_t peer) { known_.erase(peer); }
   // Warnings, for `show errors`: the last hundred.
@@ -28,13 +34,14 @@
   [[nodiscard]] static std::vector<std::string> complete(const std::string& start);
 
  private:
-  using Rows = std::vector<std::vector<std::pair<std::string, std::string>>>;
   [[nodiscard]] std::string show(const std::vector<std::string>& words, bool json);
   [[nodiscard]] std::string order(const std::vector<std::string>& words);
 
   const coordinator::Coordinator& core_;
   std::function<std::string(coordinator::PersonOrders)> order_;
   std::function<std::vector<Driver::Status>()> forwarders_;
+  std::function<Rows()> cluster_;
+  std::function<std::string()> hand_over_;
   std::string token_;
   std::set<std::uint64_t> known_;  // peers that gave the token
   std::deque<std::vector<std::pair<std::string, std::string>>> errors_;
--- a/src/standins/auditor.cpp
+++ b/src/standins/auditor.cpp
@@ -81,6 +81,22 @@
   return v;
 }
 
+// In a shared fleet: no order of a term below one that the forwarder obeyed before, in one life of it.
+Verdict terms(const std::vector<Record>& records) {
+  Verdict v{"terms only grow at a forwarder", true, 0, 0, "orders of a lower term", ""};
+  std::map<std::string, std::uint64_t> highest;
+  for (const auto& r : records) {
+    if (r.what == "forwarder_start") highest.erase(r.text("forwarder"));
+    if (r.what != "obeyed") continue;
+    auto& seen = highest[r.text("forwarder")];
+    const auto term = r.fields.value("term", std::uint64_t{0});
+    if (term < seen) ++v.worst, v.detail = r.text("forwarder");
+    seen = std::max(seen, term);
+  }
+  v.kept = v.worst <= v.limit;
+  return v;
+}
+
 Verdict twice(const Day& day, const std::vector<Record>& records) {
   Verdict v{"2 no effect twice", true, 0, 1, "effects", ""};
   std::set<std::string> side_effecting;
@@ -264,6 +280,14 @@
     }
   }
   for (const auto& [at, d] : down) settle(d);
+  std::map<std::string, std::int64_t> left;
+  for (const auto& r : records) {
+    if (r.what == "left") left[r.text("forwarder")] = r.t;
+    const auto it = r.what == "joined" ? left.find(r.text("forwarder")) : left.end();
+    if (it == left.end()) continue;
+    audit.unled.seconds.push_back(seconds(r.t - it->second));
+    left.erase(it);
+  }
   for (const auto& r : records)
     if (r.what == "in_force") audit.in_force.seconds.push_back(r.number("took"));
 }
@@ -286,6 +310,7 @@
   Audit a;
   a.verdicts.push_back(without_answer(day, records));
   if (!day.forwarders.empty()) a.verdicts.push_back(bare_forwarders(day, records));
+  if (day.shared) a.verdicts.push_back(terms(records));
   a.verdicts.push_back(twice(day, records));
   drains(day, records, a.disobedient_refused, a.verdicts);
   a.verdicts.push_back(cold(day, records));
--- a/src/standins/auditor.hpp
+++ b/src/standins/auditor.hpp
@@ -31,6 +31,7 @@
 struct Audit {
   Reaction crash_to_answer;  // from a worker's crash to the first list without it that a client got
   Reaction crash_to_last;    // and to the last list with it, before it came back
+  Reaction unled;            // forwarders: from a stream's end to the next one's beginning
   Reaction in_force;         // from the handing over of a table to the forwarder's last answer
   Reaction drain_to_last;    // from the telling of a drain to the last invocation that an obedient client sent
   std::vector<Verdict> verdicts;
--- a/src/standins/day.cpp
+++ b/src/standins/day.cpp
@@ -111,7 +111,7 @@
     if (std::find(names.begin(), names.end(), b->labels[0].first) == names.end())
       in.fault(b->labels[0].second, fmt::format("no coordinator is called \"{}\"; known here: {}",
                                                 b->labels[0].first, fmt::join(names, ", ")));
-    day.kills.push_back({b->labels[0].first, some(in, "at", std::nullopt), some(in, "lasts", std::nullopt)});
+    day.kills.push_back({b->labels[0].first, some(in, "at", std::nullopt), some(in, "lasts", std::nullopt), in.flag("pause", false)});
     in.done();
   }
 }
@@ -134,6 +134,8 @@
   day.seed = static_cast<std::uint64_t>(in.number("seed", 1, {0, 1e15, true}));
   day.length = in.span("length", std::nullopt, Span::seconds(1), Span::seconds(120));
   day.settle = some(in, "settle", 3);
+  day.shared = in.flag("shared", false);
+  day.lease = some(in, "lease", 1);
   in.done();
   config::Section rules = root.only("rules");
   day.drain_grace = some(rules, "drain_grace", 5), day.unserved = some(rules, "unserved", 3);
@@ -151,6 +153,7 @@
   config::Section unsafe = root.only("unsafe");
   day.unsafe.repeat_all = unsafe.flag("repeat_all", false);
   day.unsafe.drain_untold = unsafe.flag("drain_untold", false);
+  day.unsafe.no_fence = unsafe.flag("no_fence", false);
   day.unsafe.fixed_weights = unsafe.flag("fixed_weights", false);
   day.unsafe.backlog_judged = unsafe.number("backlog_judged", 0, {0, 1e9}, "lines");
   unsafe.done();
@@ -241,12 +244,17 @@
                         day.zones[z], day.zones[z], places.clients_of(z).text(), rate);
   }
   for (const auto& f : forwarders_of(day, places))
-    if (f.led_by == number)
+    if (f.led_by == number || day.shared)
       text += fmt::format("forwarder \"{}\" {{\n  zone = \"{}\"\n  runtime = \"{}:9999\"\n  sources = [\"{}\"]\n  usual_rate = {}\n}}\n",
                           f.name, f.zone, f.at.text(), Prefix{masked(f.at, 24), 24}.text(),
                           std::max(1.0, f.kind.rate * f.kind.clients / f.kind.count));
   text += fmt::format("runtime {{\n  fleet_rate = {}\n}}\noperators {{\n  socket = \"{}/pwani-{}.sock\"\n}}\n",
                       day.fleet_rate / static_cast<double>(day.coordinators.size()), folder, number);
+  if (day.shared) {
+    text += fmt::format("cluster {{\n  member = \"pwani-{}\"\n  key_file = \"{}/keys\"\n  shards = 6\n  lease = \"{}\"\n}}\n", number, folder, s(day.lease));
+    for (std::size_t k = 1; k <= day.coordinators.size(); ++k)
+      text += fmt::format("member \"pwani-{}\" {{\n  address = \"{}:7000\"\n}}\n", k, places.coordinator(k).address.text());
+  }
   text += fmt::format("roster {{\n  file = \"{0}/roster.hcl\"\n}}\nlog {{\n  file = \"{0}/pwani-{1}.log\"\n"
                       "  records = \"{0}/pwani-{1}.records\"\n}}\n",
                       folder, number);
--- a/src/standins/day.hpp
+++ b/src/standins/day.hpp
@@ -60,11 +60,13 @@
 struct Kill {
   std::string coordinator;
   Span at, lasts;
+  bool pause = false;  // it stands still (SIGSTOP) and wakes, in place of being killed
 };
 // Guards that a test switches off, so that the auditor has something to find.
 struct Unsafe {
   bool repeat_all = false;     // clients repeat whatever failed
   bool drain_untold = false;   // the roster never says that a worker drains
+  bool no_fence = false;       // forwarders take orders under any term
   bool fixed_weights = false;  // the coordinator does not decide
   double backlog_judged = 0;   // the auditor's limit, where it is to differ; 0: the settings'
 };
@@ -88,6 +90,8 @@
   int messages_most = 0;
   Span messages_window;
   bool levels = false;
+  bool shared = false;  // the coordinators share the forwarders and take over from one another
+  Span lease;
   Unsafe unsafe;
 };
 
--- a/src/standins/forwarder.cpp
+++ b/src/standins/forwarder.cpp
@@ -34,6 +34,7 @@
     : loop_{loop}, recorder_{recorder}, s_{std::move(settings)}, chance_{static_cast<std::uint32_t>(seed)},
       runtime_{loop, [this](std::uint64_t peer, const std::string& text, const std::string&) { return command(peer, text); }, {}} {
   runtime_.on_gone([this](std::uint64_t peer) {
+    terms_.erase(peer);
     if (led_by_.erase(peer) > 0) recorder_.write(loop_.now(), "left", {{"forwarder", s_.name}});
   });
   configure();
@@ -45,6 +46,7 @@
 
 void Forwarder::configure() {
   started_ = loop_.now();
+  highest_ = 0;  // as a plain process's variables
   lines_.clear(), values_.clear(), arrived_.clear(), tokens_.clear();
   for (const auto& op : s_.operations)
     for (const auto& line : s_.first) lines_[{op.name, line.name}].held = {line.at, 100, State::ready};
@@ -105,6 +107,17 @@
   const bool changes = is({"set"}) || is({"add"}) || is({"del"}) || is({"enable"}) || is({"disable"});
   if (!changes) return fmt::format("Unknown command: '{}'.\n", words.empty() ? "" : words[0]);
   if (fault_ == TroubleKind::forwarder_refuse) return "Permission denied\n";
+  if (is({"set", "var", "proc.gm_term"}) && words.size() == 4 && words[3].starts_with("int(")) {
+    const std::uint64_t term = std::strtoull(words[3].c_str() + 4, nullptr, 10);
+    terms_[peer] = term;
+    if (term < highest_ && s_.fences) return "Permission denied: a higher term was seen\n";
+    highest_ = std::max(highest_, term);
+    return "";
+  }
+  if (const auto term = terms_.find(peer); term != terms_.end()) {
+    if (term->second < highest_ && s_.fences) return "Permission denied: a higher term was seen\n";
+    recorder_.write(loop_.now(), "obeyed", {{"forwarder", s_.name}, {"term", term->second}});
+  }
   still_until_ = std::max(still_until_, loop_.now()) + kStill;
   if (is({"set", "var"}) && words.size() == 4 && words[2].starts_with("proc.gm_") && words[3].starts_with("int(")) {
     values_[words[2].substr(8)] = std::atoi(words[3].c_str() + 4);
--- a/src/standins/forwarder.hpp
+++ b/src/standins/forwarder.hpp
@@ -22,6 +22,7 @@
   std::vector<DayOperation> operations;
   std::vector<RosterLine> first;  // what its own configuration lists
   bool two_choice = false;
+  bool fences = true;  // takes nothing from a stream whose term is below one that it has seen
 };
 
 class Forwarder {
@@ -76,6 +77,8 @@
   std::unique_ptr<net::Listener> listener_;
   std::map<std::uint64_t, std::shared_ptr<Peer>> peers_;
   std::map<Endpoint, std::vector<std::unique_ptr<net::HttpClient>>> pool_;
+  std::map<std::uint64_t, std::uint64_t> terms_;  // of streams that said theirs
+  std::uint64_t highest_ = 0;
   std::set<std::uint64_t> led_by_;  // streams that asked what it holds: whoever does, leads it
   std::uint64_t number_ = 0;
 };
--- a/src/standins/play.cpp
+++ b/src/standins/play.cpp
@@ -87,7 +87,8 @@
 
   void make_forwarders() {
     for (const auto& place : forwarders_of(day_, o_.places)) {
-      ForwarderSettings s{place.name, place.zone, {place.at, 8000}, {place.at, 9999}, day_.operations, {}, place.kind.two_choice};
+      ForwarderSettings s{place.name, place.zone, {place.at, 8000}, {place.at, 9999}, day_.operations, {}, place.kind.two_choice,
+                          !day_.unsafe.no_fence};
       // Its own configuration lists up to four workers of its zone.
       for (const auto& line : roster_)
         if (line.zone == place.zone && s.first.size() < 4) s.first.push_back(line);
--- a/tests/runtime_api/driver_test.cpp
+++ b/tests/runtime_api/driver_test.cpp
@@ -7,6 +7,7 @@
 #include "../coordinator/fixture.hpp"
 #include "runtime_api/driver.hpp"
 #include "runtime_api/operators.hpp"
+#include "standins/auditor.hpp"
 #include "standins/forwarder.hpp"
 
 namespace gorsemount::runtime_api {
@@ -57,7 +58,7 @@
                     [this](bool, const std::string& event, const std::vector<std::pair<std::string, std::string>>& fields) {
                       ++events[event];
                       for (const auto& [key, value] : fields) said += event + " " + key + "=" + value + "\n";
-                    },
+                    }, {},
                     [this](ProxyId id, std::uint64_t version, Span took, std::size_t) {
                       holds[id] = version, slowest = std::max(slowest, took);
                     }});
@@ -140,12 +141,12 @@
                        }, {}};
   const std::string path = (std::filesystem::temp_directory_path() / ("driver-" + std::to_string(getpid()))).string();
   server.listen(path, 0600);
-  DriverSettings s{{{ProxyId{30000}, "f", {}, path}}, {"read"}, Span::seconds(1), Span::seconds(1), Span::seconds(0.5), Span::seconds(0.1)};
+  DriverSettings s{{{ProxyId{30000}, "f", {}, path}}, {"read"}, false, Span::seconds(1), Span::seconds(1), Span::seconds(0.5), Span::seconds(0.1)};
   std::unique_ptr<Driver> driver;
   std::uint64_t holds = 0;
   driver = std::make_unique<Driver>(loop, s, DriverHooks{[&](coordinator::Input i) {
                                       if (std::holds_alternative<coordinator::ForwarderJoined>(i)) driver->deliver(ProxyId{30000}, table(5, {1, 1}));
-                                    }, [](const std::string&) { return std::nullopt; }, [](bool, const std::string&, const auto&) {},
+                                    }, [](const std::string&) { return std::nullopt; }, [](bool, const std::string&, const auto&) {}, {},
                                     [&](ProxyId, std::uint64_t version, Span, std::size_t) { holds = version; }});
   loop.after(Span::seconds(0.1), [&] { loop.stop(); });
   loop.run();
@@ -266,6 +267,54 @@
   for (const auto& line : s.wanted->parts[0].lines) EXPECT_GT(held.lines.at({"read", line.name}).picked(), 0);
 }
 
+// Two controllers that both believe to lead: the forwarder obeys the later one. Without its fence the auditor
+// finds the break.
+std::string two_that_believe(bool fences) {
+  const auto folder = std::filesystem::temp_directory_path() / ("fence-" + std::to_string(getpid()) + (fences ? "a" : "b"));
+  std::filesystem::create_directories(folder);
+  net::Loop loop;
+  {
+    standins::Recorder recorder{(folder / "f.records").string()};
+    standins::DayOperation op{"read", "idempotent", 1, {}, Span::seconds(1), Span::seconds(2), 1};
+    const Endpoint at = *Endpoint::parse("127.6.5.1:19999");
+    Forwarder forwarder{loop, recorder,
+                        {"f", "a", *Endpoint::parse("127.6.5.1:18000"), at, {op}, {{"w0", "a", *Endpoint::parse("127.6.0.1:9000"), 1, false}}, false, fences}, 1};
+    const auto make = [&] {
+      return std::make_unique<Driver>(loop, DriverSettings{{{ProxyId{30000}, "f", at, ""}}, {"read"}, true, Span::seconds(1), Span::seconds(0.1),
+                                                           Span::seconds(0.5), Span::seconds(0.05)},
+                                      DriverHooks{[](coordinator::Input) {}, [](const std::string&) { return std::nullopt; },
+                                                  [](bool, const std::string&, const auto&) {}, {}, [](ProxyId, std::uint64_t, Span, std::size_t) {}});
+    };
+    const auto run = [&](double s) {
+      loop.after(Span::seconds(s), [&] { loop.stop(); });
+      loop.run();
+    };
+    const auto older = make(), later = make();
+    older->lead(ProxyId{30000}, 5);
+    run(0.05);
+    older->deliver(ProxyId{30000}, table(1, {1, 0.5}));
+    run(0.1);
+    later->lead(ProxyId{30000}, 6);
+    run(0.05);
+    later->deliver(ProxyId{30000}, table(2, {0.25, 1}));
+    run(0.1);
+    older->deliver(ProxyId{30000}, table(3, {1, 0.1}));  // it stood still, and wakes
+    run(0.4);
+  }
+  standins::Day day;
+  day.shared = true, day.forwarders.resize(1);
+  std::string broken;
+  for (const auto& v : standins::audit(day, standins::read_records(folder.string())).verdicts)
+    if (!v.kept) broken += v.rule;
+  std::filesystem::remove_all(folder);
+  return broken;
+}
+
+TEST(Fence, OfTwoThatBothBelieveTheLaterIsObeyed) {
+  EXPECT_EQ(two_that_believe(true), "");
+  EXPECT_EQ(two_that_believe(false), "terms only grow at a forwarder");
+}
+
 // The language's manners on the server's side.
 TEST(CommandServer, OneShotInteractiveJoinedAndPayload) {
   net::Loop loop;
