Say what the test of cut changes does: moments, not every byte

Cause: its comment promised a cut after any byte; streams are broken at moments, and the property over all prefixes is checked on the commands. Change: the comment only. Measured: nothing; no code changed.

--- a/tests/runtime_api/driver_test.cpp
+++ b/tests/runtime_api/driver_test.cpp
@@ -245,7 +245,8 @@
   EXPECT_GE(s.events["report_doubted"], 1);
 }
 
-// A change cut off after any byte, by breaking the stream: the forwarder always has a worker, and ends as wanted.
+// A change cut off at some moment, by breaking the stream: the forwarder always has a worker, and ends as wanted.
+// The property over every prefix of the commands is Plan.IsSafeAtEveryPrefix.
 TEST(Driver, AChangeCutAnywhereEndsWhole) {
   std::mt19937 chance{3};
   Stage s{1};
