--- a/bench/program_bench.cpp
+++ b/bench/program_bench.cpp
@@ -12,12 +12,14 @@
 #include <cstdio>
 #include <filesystem>
 #include <functional>
+#include <optional>
 #include <cstring>
 #include <thread>
 
 #include "coordinator/coordinator.hpp"
 #include "dns/front.hpp"
 #include "dns/server.hpp"
+#include "record/recorder.hpp"
 #include "runtime_api/driver.hpp"
 #include "standins/forwarder.hpp"
 
@@ -67,6 +69,7 @@
   }
   void step(const std::vector<Input>& inputs) {
     auto e = core.step(now, inputs);
+    if (stepped) stepped(inputs, e);
     if (e.published) published = e.published;
     wake = e.wake_at;
   }
@@ -97,6 +100,7 @@
       spent += took, longest = std::max(longest, took);
     }
   }
+  std::function<void(const std::vector<Input>&, const coordinator::Effects&)> stepped;
   Settings s;
   Coordinator core;
   std::vector<coordinator::RosterEntry> roster;
@@ -302,6 +306,55 @@
               pauses.back(), pauses.size(), 1e3 * at(load.latencies, 0.5), 1e3 * at(load.latencies, 0.999));
 }
 
+// Answers beside the steps of a fleet of 300, with each step handed to a recorder and without.
+void recording() {
+  const auto folder = std::filesystem::temp_directory_path() / "gorsemount-bench-record";
+  std::filesystem::create_directories(folder);
+  const Endpoint where = *Endpoint::parse("127.0.0.1:17356");
+  const std::string srv = question("_place-order._tcp.refill.test", 33);
+  std::array<std::vector<double>, 2> per_second;
+  std::array<double, 2> longest{};
+  std::array<std::size_t, 2> turns{};
+  std::uint64_t steps = 0, bytes = 0, left_out = 0;
+  for (int round = 0; round < 10; ++round) {
+    const bool with = (round + round / 2) % 2 == 1;  // neither always goes first
+    Rig rig{300};
+    rig.play(3);
+    dns::Front front{front_settings(rig.s), rig.core.group_map()};
+    front.publish(rig.published, rig.core.group_map());
+    const auto file = (folder / "bench.h5").string();
+    {
+      std::optional<record::Recorder> recorder;
+      if (with) {
+        recorder.emplace(record::RecorderSettings{file, 2ULL << 30U, 4096}, record::Header{}, Instant{}, [](const std::string& why) { std::printf("  recording stopped: %s\n", why.c_str()); });
+        rig.stepped = [&](const std::vector<Input>& inputs, const coordinator::Effects& effects) { recorder->step(rig.now, inputs, effects), ++steps; };
+      }
+      rig.longest = {}, rig.turn = 0;
+      const Served s{where,
+                     [&](std::span<const std::uint8_t> in, const Endpoint& from, std::span<std::uint8_t> out) {
+                       return front.answer(in, from.address, true, out).size;
+                     },
+                     [&, last = net::monotonic_now()]() mutable {
+                       // As many steps with as without: what the clock says, however late the loop is.
+                       const Instant now = net::monotonic_now();
+                       rig.play((now - std::exchange(last, now)).seconds());
+                       front.publish(rig.published, rig.core.group_map());
+                     }};
+      per_second[with ? 1 : 0].push_back(load_of(where, srv, 0, 2).per_second);
+      longest[with ? 1 : 0] = std::max(longest[with ? 1 : 0], millis(rig.longest)), turns[with ? 1 : 0] += rig.turn;
+      if (recorder)
+        for (const auto& [what, n] : recorder->left_out()) left_out += n;
+    }
+    if (with) bytes += std::filesystem::file_size(file);
+  }
+  std::filesystem::remove_all(folder);
+  for (auto& v : per_second) std::sort(v.begin(), v.end());
+  std::printf("Recording the steps of 300 workers: answers a second %.0f, %.3f of without (%.0f), median of 5 rounds taken in turn; longest step %.2f ms "
+              "(%.2f); %zu turns of the loop (%zu); %llu steps, %.0f bytes each, %llu left out\n", per_second[1][2], per_second[1][2] / per_second[0][2], per_second[0][2], longest[1], longest[0],
+              turns[1], turns[0], static_cast<unsigned long long>(steps), static_cast<double>(bytes) / static_cast<double>(std::max<std::uint64_t>(1, steps)),
+              static_cast<unsigned long long>(left_out));
+}
+
 void steps() {
   std::printf("The core's steps, a report from each worker a second, 30 s of virtual time\n");
   double base = 0;
@@ -563,10 +616,10 @@
   std::printf("DNS answers a second while 150 forwarders get 10 lines four times a second: %.0f, %.2f of without (%.0f)\n", with, with / without, without);
 }
 
-// With a word, only that part: answers, changes, steps or forwarders.
+// With a word, only that part: answers, changes, steps, recording or forwarders.
 int main(int argc, char** argv) {
   const std::string only = argc > 1 ? argv[1] : "";
-  for (const auto& [name, part] : {std::pair<const char*, void (*)()>{"answers", answers}, {"changes", changes}, {"steps", steps}, {"forwarders", lead_fronts}})
+  for (const auto& [name, part] : {std::pair<const char*, void (*)()>{"answers", answers}, {"changes", changes}, {"steps", steps}, {"recording", recording}, {"forwarders", lead_fronts}})
     if (only.empty() || only == name) part();
   return 0;
 }
--- a/src/app/day.cpp
+++ b/src/app/day.cpp
@@ -19,6 +19,7 @@
 
 #include "app/exit_codes.hpp"
 #include "config/settings.hpp"
+#include "lab/replay/settings.hpp"
 #include "net/loop.hpp"
 #include "standins/auditor.hpp"
 #include "script/day.hpp"
@@ -82,13 +83,16 @@
 // One fleet: its coordinators, its stand-ins, its folder.
 class Fleet {
  public:
-  Fleet(const Day& day, std::string file, std::string folder, standins::Places places, bool fixed, bool show)
+  Fleet(const Day& day, std::string file, std::string folder, standins::Places places, const std::vector<lab::Override>& changes, bool fixed, bool show)
       : day_{day}, file_{std::move(file)}, folder_{std::move(folder)}, places_{places}, fixed_{fixed}, show_{show} {
     fs::create_directories(folder_);
     fs::copy_file(file_, folder_ + "/day.hcl", fs::copy_options::overwrite_existing);
     std::ofstream{folder_ + "/roster.hcl"} << standins::roster_text(standins::roster_of(day_, places_));
-    for (std::size_t k = 1; k <= day_.coordinators.size(); ++k)
-      std::ofstream{settings(k)} << standins::coordinator_settings(day_, places_, k, folder_);
+    for (std::size_t k = 1; k <= day_.coordinators.size(); ++k) {
+      std::string text = standins::coordinator_settings(day_, places_, k, folder_);
+      for (const auto& change : changes) text = lab::put(std::move(text), change);
+      std::ofstream{settings(k)} << text;
+    }
     if (day_.shared) std::ofstream{folder_ + "/keys"} << "1 " << std::string(64, '5') << "\n";  // of this day only
     coordinators_.resize(day_.coordinators.size());
   }
@@ -222,15 +226,22 @@
   }
 }
 
+// Long days are for the virtual clock.
+const Span kLongest = Span::seconds(600);
+
 int play(const Day& day, const DayOptions& options, const std::string& folder) {
+  if (day.length > kLongest) throw std::runtime_error{fmt::format("{}: a day on loopback lasts {} at most; `gorsemount replay` plays longer ones", options.day, config::span_text(kLongest))};
+  std::vector<lab::Override> changes;
+  for (const auto& change : options.changes) changes.push_back(lab::read_override(change));
+  for (std::size_t k = 1; k <= day.coordinators.size(); ++k) static_cast<void>(lab::settings_for(day, k, "", changes));  // faults now
   net::Loop loop;
   const Instant begin = net::monotonic_now() + kPrelude;
   std::vector<std::unique_ptr<Fleet>> fleets;
-  fleets.push_back(std::make_unique<Fleet>(day, options.day, folder + "/module", standins::Places{options.octet},
+  fleets.push_back(std::make_unique<Fleet>(day, options.day, folder + "/module", standins::Places{options.octet}, changes,
                                            day.unsafe.fixed_weights, !options.quiet));
   if (options.baseline)
     fleets.push_back(std::make_unique<Fleet>(day, options.day, folder + "/fixed",
-                                             standins::Places{options.octet + kFleetOctets}, true, false));
+                                             standins::Places{options.octet + kFleetOctets}, changes, true, false));
   for (auto& fleet : fleets) fleet->start(loop, begin);
   bool interrupted = false;
   for (const int signal : {SIGINT, SIGTERM}) loop.on_signal(signal, [&] { interrupted = true, loop.stop(); });
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -43,6 +43,7 @@
   day_command->add_option("DAY", playing.day, "the day (HCL)")->required();
   day_command->add_option("--folder", playing.folder, "keep records, settings and logs here");
   day_command->add_flag("--no-baseline", no_baseline, "do not play it under fixed weights beside");
+  day_command->add_option("--set", playing.changes, "one value of the coordinators' settings in place of another: block.name=value");
   day_command->add_flag("--quiet", playing.quiet, "no live line");
   day_command->add_option("--octet", playing.octet, "second byte of the loopback addresses")->check(CLI::Range(10, 180));
   day_command->callback([&] {
@@ -105,6 +106,10 @@
   replay_command->add_option("--jobs", replaying.jobs)->check(CLI::Range(1, 64));
   replay_command->add_option("--page", replaying.page, "write a report in HTML");
   replay_command->add_option("--out", replaying.out, "write the first run as a recording");
+  replay_command->add_option("--window", replaying.window, "play a long day in windows of this length, such as 10m");
+  replay_command->add_option("--warm", replaying.warm, "played before each window and not counted");
+  replay_command->add_option("--part", replaying.part, "of the windows in which nothing happens")->check(CLI::Range(0.001, 1.0));
+  replay_command->add_option("--thin", replaying.thin, "so many times fewer of everything")->check(CLI::Range(1, 1000));
   replay_command->add_flag("--same", replaying.same, "step the recorded inputs again: the orders must be the same");
   replay_command->callback([&] { code = replay(replaying); });
 
--- a/src/app/record.cpp
+++ b/src/app/record.cpp
@@ -15,6 +15,7 @@
 #include "lab/replay/compare.hpp"
 #include "lab/replay/fit.hpp"
 #include "lab/replay/same.hpp"
+#include "lab/replay/windows.hpp"
 #include "record/tools.hpp"
 #include "standins/records.hpp"
 
@@ -33,6 +34,12 @@
   return text;
 }
 
+Span span_of(const char* option, const std::string& text) {
+  const auto span = config::parse_span(text);
+  if (!span || *span < Span::seconds(1)) throw std::runtime_error{fmt::format("{} {}: expected a span of a second or more, such as 10m", option, text)};
+  return *span;
+}
+
 void save(const std::string& file, const std::string& text) {
   std::ofstream out{file, std::ios::binary | std::ios::trunc};
   if (!(out << text) || !out.flush()) throw std::runtime_error{file + ": can't be written"};
@@ -128,6 +135,7 @@
 
 int replay(const ReplayOptions& o) {
   try {
+    if (!o.window.empty() && !(o.page.empty() && o.out.empty())) throw std::runtime_error{"--page and --out are of whole days: leave out --window"};
     const bool scripted = o.day.ends_with(".hcl");
     record::Recording recording;
     lab::Fitted fitted;
@@ -147,6 +155,7 @@
       }
       fitted = lab::fit(recording);
     }
+    if (o.thin > 1) fitted.day = lab::thinned(fitted.day, o.thin);
     for (const auto& e : fitted.estimates)
       std::printf("%s\n", fmt::format("  estimated: {} {:.4g}, likely {:.4g} to {:.4g} ({})", e.what, e.value, e.low, e.high, e.how).c_str());
     for (const auto& u : fitted.unknown) std::printf("  not recorded: %s\n", u.c_str());
@@ -181,6 +190,12 @@
       std::printf("  %s\n", remark.empty() ? "matched" : remark.c_str());
     }
     world.list = !o.out.empty();
+    if (!o.window.empty()) {
+      const auto played = lab::play_windows(fitted.day, variants, {span_of("--window", o.window), span_of("--warm", o.warm), o.part, o.first}, o.jobs, world, progress);
+      std::printf("%s", lab::table(fitted.day, played).c_str());
+      if (!remark.empty()) std::printf("  %s\n", remark.c_str());
+      return std::any_of(played.variants.begin(), played.variants.end(), [](const auto& v) { return !v.broken.empty(); }) ? kRuleBroken : kWell;
+    }
     const auto played = lab::play(fitted.day, variants, o.seeds, o.jobs, world, progress);
     std::printf("%s", lab::table(fitted.day, played).c_str());
     if (!o.sweep.empty())
--- a/src/app/record.hpp
+++ b/src/app/record.hpp
@@ -22,6 +22,9 @@
   int seeds = 8, jobs = 1;
   std::uint64_t first = 1;
   bool same = false;
+  std::string window, warm = "20s"; // spans; window empty: the day as one
+  double part = 1;                  // of the quiet windows
+  int thin = 1;
 };
 [[nodiscard]] int replay(const ReplayOptions& options);
 
--- a/src/lab/replay/compare.cpp
+++ b/src/lab/replay/compare.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-// Student's t, two-sided 95%, by degrees of freedom.
-double student(std::size_t degrees) {
-  constexpr std::array<double, 11> few{0, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23};
-  return degrees < few.size() ? few[degrees] : degrees < 30 ? 2.09 : 1.96;
-}
-
 std::string escaped(const std::string& text) {
   std::string out;
   for (const char c : text) out += c == '<' ? "&lt;" : c == '>' ? "&gt;" : c == '&' ? "&amp;" : c == '"' ? "&quot;" : std::string{c};
@@ -60,6 +54,11 @@
 
 }  // namespace
 
+double t95(std::size_t degrees) {
+  constexpr std::array<double, 11> few{0, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23};
+  return degrees < few.size() ? few[degrees] : degrees < 30 ? 2.09 : 1.96;
+}
+
 std::vector<Played> play(const script::Day& day, const std::vector<Variant>& variants, int seeds, int jobs, const WorldSettings& world,
                          const std::function<void(double)>& progress) {
   std::vector<Played> all;
@@ -114,7 +113,7 @@
   }
   double square = 0;
   for (const double v : d) square += (v - out.mean) * (v - out.mean);
-  const double half = student(d.size() - 1) * std::sqrt(square / static_cast<double>(d.size() - 1) / static_cast<double>(d.size()));
+  const double half = t95(d.size() - 1) * std::sqrt(square / static_cast<double>(d.size() - 1) / static_cast<double>(d.size()));
   out.low = out.mean - half, out.high = out.mean + half;
   return out;
 }
--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -632,6 +632,7 @@
     enter(n);
   }
   [[nodiscard]] std::array<Tally*, 4> tallies(const Invocation& inv) {
+    if (inv.came < begin + s.count_from) return {&uncounted, &uncounted, &uncounted, &uncounted};
     const auto ten = static_cast<std::size_t>((inv.came - begin).seconds() / 10);
     if (out.by_ten.size() <= ten) out.by_ten.resize(ten + 1);
     return {&out.whole, &out.by_operation[inv.operation], &out.by_zone[proxies[inv.proxy].zone], &out.by_ten[ten]};
@@ -1299,6 +1300,7 @@
   bool stale = false;
   std::map<std::uint32_t, std::vector<std::uint32_t>> struck;  // by trouble
   std::vector<std::uint64_t> last_taken;
+  Tally uncounted;
   Outcome out;
 };
 
--- a/src/lab/world/world.hpp
+++ b/src/lab/world/world.hpp
@@ -33,6 +33,7 @@
   std::function<void(std::size_t number, Instant local, const std::vector<coordinator::Input>&, const coordinator::Effects&)> on_step;
   // Random faults on top of the day's, for simulations: kills, pauses, cuts, losses, slow links among controllers.
   int random_faults = 0;
+  Span count_from;    // what came earlier only warms the day up: it is in no tally
   bool list = false;  // invocations, one by one
   bool fences = true;
 };
--- a/src/script/day.cpp
+++ b/src/script/day.cpp
@@ -8,12 +8,15 @@
 
 namespace {
 
-const Span kHour = Span::seconds(3600);
+// A day, and an hour for one on which clocks go back.
+const Span kLongest = Span::seconds(25 * 3600);
 
 Span some(config::Section& in, const char* name, std::optional<double> otherwise) {
-  return in.span(name, otherwise ? std::optional{Span::seconds(*otherwise)} : std::nullopt, Span{}, kHour);
+  return in.span(name, otherwise ? std::optional{Span::seconds(*otherwise)} : std::nullopt, Span{}, kLongest);
 }
 
+constexpr unsigned kAddresses = 250;  // of one zone, before the next port begins
+
 config::Section section_of(const hcl::Block& b, const config::Section& root) {
   return {b.body, b.at, b.labels.empty() ? b.type : b.type + "." + b.labels[0].first, *root.findings()};
 }
@@ -44,7 +47,7 @@
     config::Section in = section_of(*b, root);
     DayWorkers w;
     w.zone = zone_in(in);
-    w.count = static_cast<int>(in.number("count", std::nullopt, {1, 250, true}));
+    w.count = static_cast<int>(in.number("count", std::nullopt, {1, 2500, true}));
     w.cores = in.number("cores", 2, {1, 256, true}), w.speed = in.number("speed", 1, {0.01, 100});
     w.slots = static_cast<int>(in.number("slots", 0, {0, 100000, true}));
     w.connect_cost = some(in, "connect_cost", 0), w.loss = in.number("loss", 0, {0, 10}), w.cancels = in.flag("cancels", true);
@@ -101,7 +104,7 @@
     zones.emplace_back("");
     t.zone = zones[in.word("zone", zones, zones.size() - 1)];
     t.at = some(in, "at", std::nullopt), t.lasts = some(in, "lasts", std::nullopt);
-    t.count = static_cast<int>(in.number("count", 0, {0, 250, true}));
+    t.count = static_cast<int>(in.number("count", 0, {0, 2500, true}));
     if (std::string to = in.text("to", ""); !to.empty()) {
       if (std::find(day.zones.begin(), day.zones.end(), to) == day.zones.end())
         in.fault(in.place("to"), fmt::format("no zone is called \"{}\"; known here: {}", to, fmt::join(day.zones, ", ")));
@@ -156,7 +159,7 @@
   config::Section in = root.only("day");
   day.name = in.text("name", "day"), day.origin = in.text("origin", "refill.pwani.test");
   day.seed = static_cast<std::uint64_t>(in.number("seed", 1, {0, 1e15, true}));
-  day.length = in.span("length", std::nullopt, Span::seconds(1), Span::seconds(120));
+  day.length = in.span("length", std::nullopt, Span::seconds(1), kLongest);
   day.settle = some(in, "settle", 3);
   day.shared = in.flag("shared", false);
   day.lease = some(in, "lease", 1);
@@ -192,7 +195,8 @@
 }
 
 Endpoint Places::worker(std::size_t zone, std::size_t number) const {
-  return {loopback(octet, static_cast<unsigned>(zone + 1), static_cast<unsigned>(number)), 9000};
+  const auto n = static_cast<unsigned>(number - 1);
+  return {loopback(octet, static_cast<unsigned>(zone + 1), 1 + n % kAddresses), static_cast<std::uint16_t>(9000 + n / kAddresses)};
 }
 Address Places::client(std::size_t zone, std::size_t number) const {
   return loopback(octet + 1 + static_cast<unsigned>(zone), 0, static_cast<unsigned>(number));
--- a/src/script/day.hpp
+++ b/src/script/day.hpp
@@ -124,7 +124,7 @@
 // octets differ by 10 or more don't meet.
 struct Places {
   unsigned octet = 10;
-  [[nodiscard]] Endpoint worker(std::size_t zone, std::size_t number) const;  // 127.octet.zone+1.number
+  [[nodiscard]] Endpoint worker(std::size_t zone, std::size_t number) const;  // 127.octet.zone+1.number, 250 a port
   [[nodiscard]] Address client(std::size_t zone, std::size_t number) const;   // 127.octet+1+zone.0.number
   [[nodiscard]] Endpoint coordinator(std::size_t number) const;               // 127.octet.0.number
   // Of the forwarders that coordinator `led_by` leads: 127.octet+1+zone.led_by.number, so that a /24 is led by one.
