Run store, recorder and roster reading as background tasks in one scheduler, in slices

The recorder had a thread of its own, the roster was read and parsed by the thread that answers, and the check of the older generation was one piece of whatever size. Now src/background decides (priorities, budgets of bytes and of time, a rise for what waits long) and two lanes run it: the prompt one takes only what is promised, so that a disk that hangs under a check holds up no write. The check goes in slices of 256 KiB. 'show work' lists each task's longest piece and lateness.

Tests: a hung piece beside a promise, a check that hangs beside writes that go on, slices of any size against one look over 200 bent, cut and whole files, shares of time and starvation under a made-up clock.

--- a/bench/program_bench.cpp
+++ b/bench/program_bench.cpp
@@ -324,9 +324,10 @@
     front.publish(rig.published, rig.core.group_map());
     const auto file = (folder / "bench.h5").string();
     {
+      background::Background background{net::monotonic_now};
       std::optional<record::Recorder> recorder;
       if (with) {
-        recorder.emplace(record::RecorderSettings{file, 2ULL << 30U, 4096}, record::Header{}, Instant{}, [](const std::string& why) { std::printf("  recording stopped: %s\n", why.c_str()); });
+        recorder.emplace(background, record::RecorderSettings{file, 2ULL << 30U, 4096}, record::Header{}, Instant{}, [](const std::string& why) { std::printf("  recording stopped: %s\n", why.c_str()); });
         rig.stepped = [&](const std::vector<Input>& inputs, const coordinator::Effects& effects) { recorder->step(rig.now, inputs, effects), ++steps; };
       }
       rig.longest = {}, rig.turn = 0;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,7 +1,6 @@
 #include "app/serve.hpp"
 
 #include <fmt/format.h>
-#include <sys/stat.h>
 
 #include <chrono>
 #include <csignal>
@@ -11,6 +10,8 @@
 
 #include "app/exit_codes.hpp"
 #include "app/records.hpp"
+#include "app/roster_file.hpp"
+#include "background/background.hpp"
 #include "cluster/cluster.hpp"
 #include "config/settings.hpp"
 #include "coordinator/baseline.hpp"
@@ -77,6 +78,7 @@
         log_{s_.name, s_.log_level, s_.log_file},
         records_{s_.records_file, s_.name},
         core_{s_.core, options_.fixed ? coordinator::fixed_weights() : coordinator::module_of(s_.core)},
+        roster_{s_.core, s_.roster_file},
         front_{front_settings(s_), core_.group_map()},
         prober_{loop_,
                 {s_.health_path, s_.load_path, s_.health_every, s_.health_again, s_.health_timeout, s_.load_every, s_.load_timeout,
@@ -101,9 +103,10 @@
     sigemptyset(&ours);
     for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&ours, signal);
     pthread_sigmask(SIG_BLOCK, &ours, nullptr);
+    background_.emplace(net::monotonic_now);
     if (!open_recording()) return kCannotListen;
     open_store();
-    read_roster();
+    heed(roster_.look());
     step();
     try {
       server_.emplace(loop_, front_, dns::ServerSettings{s_.listen, static_cast<std::size_t>(s_.tcp_most), s_.tcp_idle},
@@ -121,6 +124,7 @@
     loop_.on_signal(SIGHUP, [this] { reload(); });
     watch_roster();
     loop_.run();
+    background_->remove(roster_task_);
     const auto c = core_.counters();
     const auto& f = front_.counters();
     log_.event(log::Level::info, "stopped",
@@ -176,7 +180,7 @@
       if (!believed.acts.empty()) inputs_.emplace_back(coordinator::Recalled{std::move(believed.acts), true});
       std::uint64_t sequence = 0;
       for (auto& e : first) e.sequence = ++sequence;
-      keeper_.emplace(std::move(disk), std::move(settings), std::move(first), read_clocks,
+      keeper_.emplace(*background_, std::move(disk), std::move(settings), std::move(first), read_clocks,
                       [this](const std::string& event, const std::string& what) { log_.event(log::Level::warning, event, {{"what", what}}); });
       keep();
     } catch (const std::exception& fault) {
@@ -196,8 +200,8 @@
       record::Header header;
       header.name = s_.name, header.settings = s_.text;
       header.began_wall = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-      // From the recorder's own thread; the log takes lines from any.
-      recorder_.emplace(record::RecorderSettings{s_.recording_file, s_.recording_most, 4096}, std::move(header), Instant{},
+      // From a background thread; the log takes lines from any.
+      recorder_.emplace(*background_, record::RecorderSettings{s_.recording_file, s_.recording_most, 4096}, std::move(header), Instant{},
                         [this](const std::string& why) { log_.event(log::Level::warning, "recording_stopped", {{"why", why}}); });
       return true;
     } catch (const std::exception& fault) {
@@ -218,6 +222,7 @@
       }
       operators_.emplace(core_, [this](const coordinator::PersonOrders& order) { return ordered(order); },
                          [this] { return driver_.status(); }, token);
+      operators_->at_work([this] { return work_rows(); });
       const auto serve = [this](std::unique_ptr<runtime_api::CommandServer>& to, bool trusted) {
         // Peers of the two sockets must not be taken for each other.
         to = std::make_unique<runtime_api::CommandServer>(
@@ -235,6 +240,16 @@
     }
   }
 
+  [[nodiscard]] runtime_api::Operators::Rows work_rows() const {
+    runtime_api::Operators::Rows rows;
+    const auto ms = [](Span span) { return fmt::format("{:.2f}", 1000 * span.seconds()); };
+    for (const auto& c : background_->counters())
+      rows.push_back({{"task", c.name}, {"runs", std::to_string(c.runs)}, {"pieces", std::to_string(c.pieces)},
+                      {"longest_ms", ms(c.longest)}, {"latest_ms", ms(c.latest)}, {"all_s", fmt::format("{:.3f}", c.all.seconds())},
+                      {"bytes", std::to_string(c.bytes)}});
+    return rows;
+  }
+
   [[nodiscard]] cluster::ShardId shard_of(ProxyId proxy) const { return part_->shard_of(proxy, s_.core); }
 
   bool join_cluster() {
@@ -353,33 +368,15 @@
     wake_ = loop_.at(effects.wake_at, [this] { step(); });
   }
 
-  // A file is read again when its time, size or inode changed. A bad one changes nothing, and is named once.
-  void read_roster() {
-    struct stat now {};
-    if (::stat(s_.roster_file.c_str(), &now) != 0) {
-      if (std::exchange(roster_fault_, "missing") != "missing")
-        log_.event(log::Level::warning, "roster_kept", {{"file", s_.roster_file}, {"why", "can't be read"}});
-      return;
-    }
-    const auto mark = fmt::format("{} {}.{} {}", now.st_ino, now.st_mtim.tv_sec, now.st_mtim.tv_nsec, now.st_size);
-    if (mark == roster_mark_) return;
-    roster_mark_ = mark;
-    std::vector<hcl::Fault> faults;
-    const std::string text = config::read_file(s_.roster_file, faults);
-    auto read = config::read_roster(text, s_.roster_file, s_.core);
-    faults.insert(faults.end(), read.faults.begin(), read.faults.end());
-    if (!faults.empty()) {
-      roster_fault_ = faults.front().text();
-      for (const auto& f : faults) log_.event(log::Level::warning, "roster_kept", {{"why", f.text()}});
-      return;
-    }
-    roster_fault_.clear();
-    std::vector<coordinator::RosterEntry> entries = std::move(read.entries);
+  // A bad file changes nothing, and is named once.
+  void heed(RosterFile::Look look) {
+    for (const auto& fault : look.faults) log_.event(log::Level::warning, "roster_kept", {{"why", fault}});
+    if (!look.entries) return;
     // Ids come from the core, so it hears of the list before the backends are asked.
-    const std::size_t n = entries.size();
+    const std::size_t n = look.entries->size();
     std::vector<std::pair<std::string, Endpoint>> names;
-    for (const auto& e : entries) names.emplace_back(e.name, e.at);
-    inputs_.emplace_back(coordinator::RosterHeard{std::move(entries)});
+    for (const auto& e : *look.entries) names.emplace_back(e.name, e.at);
+    inputs_.emplace_back(coordinator::RosterHeard{std::move(*look.entries)});
     step();
     std::map<BackendId, Endpoint> asked;
     for (const auto& [name, at] : names)
@@ -389,9 +386,13 @@
   }
 
   void watch_roster() {
-    loop_.after(s_.roster_every, [this] {
-      read_roster();
-      watch_roster();
+    roster_task_ = background_->add({"roster", 1, s_.roster_every, 0, 1}, [this] {
+      auto look = roster_.look();
+      const std::size_t n = look.entries ? look.entries->size() : 0;
+      // An unchanged file is nothing to wake the loop for.
+      if (look.entries || !look.faults.empty())
+        loop_.post([this, look = std::make_shared<RosterFile::Look>(std::move(look))] { heed(std::move(*look)); });
+      return background::Piece{n, true};
     });
   }
 
@@ -425,10 +426,12 @@
     s_.core.lifetime_most = fresh.core.lifetime_most, s_.core.group_idle = fresh.core.group_idle;
     seen_.assign(s_.core.groups.size(), {});
     if (part_) part_->forget_groups();
-    roster_mark_.clear();
     inputs_.emplace_back(coordinator::Retuned{s_.core});
     step();
-    read_roster();
+    roster_.follow(s_.roster_file);
+    background_->remove(roster_task_);
+    watch_roster();
+    background_->ask_for(roster_task_);
     log_.event(log::Level::info, "reloaded", {{"groups", std::to_string(s_.core.groups.size())}});
   }
 
@@ -450,6 +453,8 @@
   Records records_;
   net::Loop loop_;
   coordinator::Coordinator core_;
+  RosterFile roster_;
+  background::TaskId roster_task_;
   dns::Front front_;
   std::optional<dns::Server> server_;
   hears::Prober prober_;
@@ -460,6 +465,7 @@
   std::optional<cluster::Cluster> cluster_;
   std::unique_ptr<peers::Links> links_;
   std::optional<shared_fleet::Part> part_;
+  std::optional<background::Background> background_;  // outlives those who work in it
   std::optional<record::Recorder> recorder_;
   std::optional<store::Keeper> keeper_;
   net::Loop::Timer cluster_wake_;
@@ -467,7 +473,6 @@
   std::optional<runtime_api::Operators> operators_;
   std::unique_ptr<runtime_api::CommandServer> socket_, tcp_;
   net::Loop::Timer wake_;
-  std::string roster_mark_, roster_fault_;
   bool gathering_ = false, stopping_ = false;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.hpp"
 
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/signalfd.h>
 
 #include <algorithm>
@@ -26,6 +27,18 @@
 
 Loop::Loop() : epoll_{epoll_create1(EPOLL_CLOEXEC)}, now_{monotonic_now()} {
   if (!epoll_) fail("epoll_create1");
+  posted_fd_ = Fd{eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)};
+  if (!posted_fd_) fail("eventfd");
+  watch(posted_fd_.get(), EPOLLIN, [this](std::uint32_t) {
+    std::uint64_t n = 0;
+    while (read(posted_fd_.get(), &n, sizeof n) > 0) {}
+    std::vector<Task> posted;
+    {
+      const std::lock_guard lock{posted_lock_};
+      posted.swap(posted_);
+    }
+    for (const auto& task : posted) task();
+  });
 }
 
 void Loop::watch(int fd, std::uint32_t events, Handler handler) {
@@ -47,6 +60,16 @@
   return timer;
 }
 
+void Loop::post(Task task) {
+  {
+    const std::lock_guard lock{posted_lock_};
+    posted_.push_back(std::move(task));
+  }
+  const std::uint64_t one = 1;
+  // It can fail only where so many are posted already that the loop is awake.
+  static_cast<void>(!write(posted_fd_.get(), &one, sizeof one));
+}
+
 void Loop::cancel(Timer& timer) {
   if (timer.number != 0) timers_.erase(timer);
   timer = {};
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "core/time.hpp"
@@ -36,6 +37,8 @@
   Timer after(Span span, Task task) { return at(now() + span, std::move(task)); }
   void cancel(Timer& timer);  // of one that has fired, or none: does nothing
   void soon(Task task) { tasks_.push_back(std::move(task)); }  // in the next turn
+  // From any thread: in a turn soon, on the loop's.
+  void post(Task task);
   // Blocks the signal's usual effect. Throws std::system_error.
   void on_signal(int signal, Task task);
 
@@ -54,7 +57,9 @@
   std::uint64_t timer_number_ = 0;
   std::vector<Task> tasks_;
   std::map<int, Task> signals_;
-  Fd signal_fd_;
+  Fd signal_fd_, posted_fd_;
+  std::mutex posted_lock_;
+  std::vector<Task> posted_;
 };
 
 }  // namespace gorsemount::net
--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -2,7 +2,6 @@
 
 #include <xxhash.h>
 
-#include <chrono>
 #include <cstdio>
 #include <utility>
 
@@ -16,20 +15,32 @@
   return waiting * 2 >= most ? Detail::no_orders : Detail::all;
 }
 
-Recorder::Recorder(RecorderSettings settings, Header header, Instant base, std::function<void(const std::string&)> said)
-    : s_{std::move(settings)}, header_{std::move(header)}, base_{base}, said_{std::move(said)},
-      writer_{std::make_unique<Writer>(s_.file, header_)}, thread_{[this] { run(); }} {}
+namespace {
+
+// A killed process loses what was not flushed: a second of it.
+const Span kFlush = Span::seconds(1);
+// Steps in a piece: about 2 ms of encoding at 300 workers, so that what is promised waits no longer for a lane.
+constexpr std::size_t kPiece = 64;
+// Of a core: compressing may take what it needs of one that nobody else wants, but no more than half of it.
+constexpr double kShare = 0.5;
+
+}  // namespace
+
+Recorder::Recorder(background::Background& background, RecorderSettings settings, Header header, Instant base, std::function<void(const std::string&)> said)
+    : background_{background}, s_{std::move(settings)}, header_{std::move(header)}, base_{base}, said_{std::move(said)},
+      writer_{std::make_unique<Writer>(s_.file, header_)} {
+  write_ = background_.add({"record", 2, {}, 0, kShare}, [this] { return piece(kPiece); });
+  flush_ = background_.add({"record flush", 2, kFlush, 0, kShare}, [this] { return flush(); });
+}
 
 Recorder::~Recorder() {
-  {
-    const std::lock_guard lock{lock_};
-    stop_ = true;
-  }
-  ready_.notify_one();
-  thread_.join();
+  background_.remove(write_), background_.remove(flush_);
+  while (!piece(kPiece).done) {}
+  static_cast<void>(flush());
 }
 
 void Recorder::step(Instant now, std::vector<coordinator::Input> inputs, const coordinator::Effects& effects) {
+  bool first = false;
   {
     const std::lock_guard lock{lock_};
     const Detail detail = broken_ ? Detail::nothing : detail_for(waiting_.size(), s_.waiting_most);
@@ -39,9 +50,10 @@
       ++left_out_["steps"];
       return;
     }
+    first = waiting_.empty();
     waiting_.push_back({now, std::move(inputs), effects, detail});
   }
-  ready_.notify_one();
+  if (first) background_.ask_for(write_);
 }
 
 std::map<std::string, std::uint64_t> Recorder::left_out() const {
@@ -64,34 +76,51 @@
   writer_->missing("beginning", 1);
 }
 
-void Recorder::run() {
-  auto flushed = std::chrono::steady_clock::now();
-  std::unique_lock lock{lock_};
-  for (;;) {
-    ready_.wait_for(lock, std::chrono::milliseconds(500), [this] { return stop_ || !waiting_.empty(); });
-    if (waiting_.empty() && stop_) return;
-    std::deque<Work> batch = std::exchange(waiting_, {});
-    const auto left_out = left_out_;
-    const bool broken = broken_;
-    lock.unlock();
-    try {
-      if (!broken) {
-        for (const auto& work : batch) write(work);
-        if (const auto now = std::chrono::steady_clock::now(); now - flushed > std::chrono::seconds(1)) {
-          flushed = now;
-          for (const auto& [what, n] : left_out)
-            if (std::exchange(told_[what], n) != n) writer_->missing(what, n);
-          writer_->flush();
-        }
-      }
-    } catch (const std::exception& fault) {
-      said_(fault.what());
-      lock.lock();
-      broken_ = true;
-      continue;
-    }
-    lock.lock();
+void Recorder::broke(const std::string& why) {
+  {
+    const std::lock_guard lock{lock_};
+    if (std::exchange(broken_, true)) return;
+    waiting_.clear();
+  }
+  said_(why);
+}
+
+background::Piece Recorder::piece(std::size_t most) {
+  std::deque<Work> batch;
+  bool more = false;
+  {
+    const std::lock_guard lock{lock_};
+    if (broken_) return {};
+    for (; batch.size() < most && !waiting_.empty(); waiting_.pop_front()) batch.push_back(std::move(waiting_.front()));
+    more = !waiting_.empty();
+  }
+  const std::lock_guard hold{writer_lock_};
+  const auto before = writer_->bytes();
+  try {
+    for (const auto& work : batch) write(work);
+  } catch (const std::exception& fault) {
+    broke(fault.what());
+    return {};
+  }
+  const auto after = writer_->bytes();
+  return {after > before ? after - before : 0, !more};
+}
+
+background::Piece Recorder::flush() {
+  const auto left_out = this->left_out();
+  {
+    const std::lock_guard lock{lock_};
+    if (broken_) return {};
+  }
+  const std::lock_guard hold{writer_lock_};
+  try {
+    for (const auto& [what, n] : left_out)
+      if (std::exchange(told_[what], n) != n) writer_->missing(what, n);
+    writer_->flush();
+  } catch (const std::exception& fault) {
+    broke(fault.what());
   }
+  return {};
 }
 
 }  // namespace gorsemount::record
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -1,14 +1,13 @@
 // Records a coordinator while it runs. The one who steps hands over and goes on: encoding, compressing and writing
-// are another thread's. What there is no room or no disk for is left out in a stated order, and the file says so.
+// are background work. What there is no room or no disk for is left out in a stated order, and the file says so.
 #pragma once
 
-#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
-#include <thread>
 
+#include "background/background.hpp"
 #include "coordinator/types.hpp"
 #include "record/file.hpp"
 
@@ -28,9 +27,10 @@
 
 class Recorder {
  public:
-  // `said` is called from the recorder's thread, once a fault. Throws std::runtime_error if the file can't be made.
-  Recorder(RecorderSettings settings, Header header, Instant base, std::function<void(const std::string&)> said);
-  ~Recorder();
+  // `said` is called from a background thread, once a fault. Throws std::runtime_error if the file can't be made.
+  // `background` outlives it.
+  Recorder(background::Background& background, RecorderSettings settings, Header header, Instant base, std::function<void(const std::string&)> said);
+  ~Recorder();  // what was handed over is written
   Recorder(const Recorder&) = delete;
   Recorder& operator=(const Recorder&) = delete;
 
@@ -45,20 +45,24 @@
     coordinator::Effects effects;
     Detail detail = Detail::all;
   };
-  void run();
+  background::Piece piece(std::size_t most);
+  background::Piece flush();
   void write(const Work& work);
+  void broke(const std::string& why);
 
+  background::Background& background_;
   RecorderSettings s_;
   Header header_;
   Instant base_;
   std::function<void(const std::string&)> said_;
-  std::unique_ptr<Writer> writer_;
   mutable std::mutex lock_;
-  std::condition_variable ready_;
   std::deque<Work> waiting_;
-  std::map<std::string, std::uint64_t> left_out_, told_;
-  bool stop_ = false, broken_ = false;
-  std::thread thread_;
+  std::map<std::string, std::uint64_t> left_out_;
+  bool broken_ = false;
+  std::mutex writer_lock_;  // of what follows
+  std::unique_ptr<Writer> writer_;
+  std::map<std::string, std::uint64_t> told_;
+  background::TaskId write_, flush_;
 };
 
 }  // namespace gorsemount::record
--- a/src/runtime_api/operators.cpp
+++ b/src/runtime_api/operators.cpp
@@ -30,6 +30,7 @@
     {"show proxies", "client groups and forwarders: table, versions ordered and held"},
     {"show channel", "lines waiting, most so far, held back"},
     {"show errors", "the last warnings"},
+    {"show work", "background tasks: how often, how long at most, how late at most"},
     {"show cluster", "members, their standing, and who leads which forwarder here"},
     {"hand-over", "gives what this one leads to the others, at once"},
     {"set weight NAME W [for SPAN]", "a listed weight, for 10m if not said"},
@@ -185,6 +186,8 @@
   } else if (what == "cluster") {
     if (!cluster_) return "No cluster: this coordinator stands alone.\n";
     rows = cluster_();
+  } else if (what == "work") {
+    if (work_) rows = work_();
   } else if (what == "errors") {
     rows.assign(errors_.begin(), errors_.end());
   } else {
--- a/src/runtime_api/operators.hpp
+++ b/src/runtime_api/operators.hpp
@@ -25,6 +25,9 @@
     cluster_ = std::move(show), hand_over_ = std::move(hand_over);
   }
 
+  // `show work`: background tasks.
+  void at_work(std::function<Rows()> show) { work_ = std::move(show); }
+
   [[nodiscard]] std::string handle(std::uint64_t peer, bool trusted, const std::string& command);
   void gone(std::uint64_t peer) { known_.erase(peer); }
   // Warnings, for `show errors`: the last hundred.
@@ -40,7 +43,7 @@
   const coordinator::Coordinator& core_;
   std::function<std::string(coordinator::PersonOrders)> order_;
   std::function<std::vector<Driver::Status>()> forwarders_;
-  std::function<Rows()> cluster_;
+  std::function<Rows()> cluster_, work_;
   std::function<std::string()> hand_over_;
   std::string token_;
   std::set<std::uint64_t> known_;  // peers that gave the token
--- a/src/store/disk.cpp
+++ b/src/store/disk.cpp
@@ -96,6 +96,26 @@
     return text;
   }
 
+  std::string read_part(const std::string& name, std::size_t from, std::size_t most) override {
+    const int fd = ::openat(dir_, name.c_str(), O_RDONLY | O_CLOEXEC);
+    if (fd < 0) fail(name + " can't be read");
+    std::string text(most, '\0');
+    std::size_t got = 0;
+    while (got < most) {
+      const ssize_t n = ::pread(fd, text.data() + got, most - got, static_cast<off_t>(from + got));
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0) {
+        ::close(fd);
+        fail(name + " can't be read");
+      }
+      if (n == 0) break;
+      got += static_cast<std::size_t>(n);
+    }
+    ::close(fd);
+    text.resize(got);
+    return text;
+  }
+
  private:
   [[noreturn]] void fail(const std::string& what) const {
     throw DiskError{folder_ + ": " + what + (errno != 0 ? std::string{": "} + std::strerror(errno) : "")};
--- a/src/store/disk.hpp
+++ b/src/store/disk.hpp
@@ -27,6 +27,8 @@
   virtual void remove(const std::string& name) = 0;  // of one that is not there: nothing
   [[nodiscard]] virtual std::vector<std::string> list() = 0;
   [[nodiscard]] virtual std::string read(const std::string& name) = 0;
+  // At most `most` bytes from a place on; empty at the end. From any thread, beside all else.
+  [[nodiscard]] virtual std::string read_part(const std::string& name, std::size_t from, std::size_t most) { return read(name).substr(from, most); }
 };
 
 // A folder of a real disk, made if it is not there. Locked against a second process; throws DiskError if it is.
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -1,10 +1,10 @@
 #include "store/keeper.hpp"
 
-#include <chrono>
 #include <utility>
 
 namespace gorsemount::store {
 
+using background::Piece;
 using recovery::Clocks;
 
 namespace {
@@ -13,31 +13,38 @@
 const Span kWrite = Span::seconds(0.5);
 const Span kCheck = Span::seconds(60);           // between looks at the older generation
 constexpr std::uint64_t kCheckBytes = 4U << 20U; // a second, of those looks
+constexpr std::size_t kSlice = 256U << 10U;      // at a time: a few milliseconds of a usual disk, a sixteenth of the budget
+// Of a core for all that is not a promise: what answers shares the machine.
+constexpr double kShare = 0.2;
 
 Instant at(const Clocks& c) { return Instant{} + Span::micros(c.mono); }
 
 }  // namespace
 
-Keeper::Keeper(std::unique_ptr<Disk> disk, StoreSettings settings, std::vector<recovery::Entry> first, Read clocks, Say say)
-    : disk_{std::move(disk)}, s_{std::move(settings)}, first_{std::move(first)}, clocks_{std::move(clocks)}, say_{std::move(say)},
-      thread_{[this] { run(); }} {}
+Keeper::Keeper(background::Background& background, std::unique_ptr<Disk> disk, StoreSettings settings, std::vector<recovery::Entry> first,
+               Read clocks, Say say)
+    : background_{background}, disk_{std::move(disk)}, s_{std::move(settings)}, clocks_{std::move(clocks)}, say_{std::move(say)} {
+  try {
+    store_.emplace(*disk_, s_, clocks_(), first);
+    ++counters_.snapshots, counters_.bytes = store_->bytes(), counters_.syncs = store_->syncs();
+  } catch (const DiskError& fault) {
+    stop(fault.what());
+  }
+  for (auto& e : first) known_.put(std::move(e));
+  written_ = known_.last();
+  write_ = background_.add({"store write", 0, kWrite, 0, 1}, [this] { return write(); });
+  snapshot_ = background_.add({"store snapshot", 1, {}, 0, 1}, [this] { return snapshot(); });
+  check_ = background_.add({"store check", 3, kCheck, kCheckBytes, kShare}, [this] { return check(); });
+}
 
 Keeper::~Keeper() {
-  {
-    const std::lock_guard lock{lock_};
-    stop_ = true;
-  }
-  ready_.notify_one();
-  thread_.join();
+  for (const auto task : {check_, snapshot_, write_}) background_.remove(task);
+  static_cast<void>(write());
 }
 
 void Keeper::keep(recovery::Facts facts) {
-  {
-    const std::lock_guard lock{lock_};
-    if (counters_.stopped) return;
-    waiting_ = std::move(facts);  // the latest is all that counts
-  }
-  ready_.notify_one();
+  const std::lock_guard lock{lock_};
+  if (!counters_.stopped) waiting_ = std::move(facts);  // the latest is all that counts
 }
 
 Keeper::Counters Keeper::counters() const {
@@ -45,64 +52,77 @@
   return counters_;
 }
 
-void Keeper::run() {
+void Keeper::stop(const std::string& why) {
+  say_("store_stopped", why);
+  const std::lock_guard lock{lock_};
+  counters_.stopped = true, waiting_.reset();
+}
+
+Piece Keeper::write() {
+  std::optional<recovery::Facts> facts;
+  {
+    const std::lock_guard lock{lock_};
+    if (counters_.stopped) return {};
+    facts = std::exchange(waiting_, {});
+  }
   try {
-    recovery::Knowledge known;
-    Store store{*disk_, s_, clocks_(), first_};
-    for (auto& e : first_) known.put(std::move(e));
-    std::uint64_t written = known.last(), snapshots = 1, checked = 0;
-    Scheduler scheduler;
-    const Instant begin = at(clocks_());
-    const auto write = scheduler.add({"write", 0, kWrite, 0}, begin), snapshot = scheduler.add({"snapshot", 1, {}, 0}, begin),
-               check = scheduler.add({"check", 2, kCheck, kCheckBytes}, begin);
-    for (bool last = false; !last;) {
-      std::optional<recovery::Facts> facts;
-      {
-        std::unique_lock lock{lock_};
-        const Instant now = at(clocks_());
-        const Span wait = scheduler.wake_at(now) - now;
-        if (wait > Span{} && !stop_) ready_.wait_for(lock, std::chrono::microseconds(std::min<std::int64_t>(wait.micros(), 500'000)), [this] { return stop_; });
-        last = stop_;
-        facts = std::exchange(waiting_, {});
-      }
-      const Clocks now = clocks_();
-      if (facts) known.observe(at(now), *facts);
-      if (last) scheduler.ask_for(write);
-      while (const auto task = scheduler.next(at(now))) {
-        const Clocks from = clocks_();
-        std::uint64_t bytes = 0;
-        if (*task == write) {
-          const auto before = store.bytes();
-          // With nothing new too: that it still holds is news.
-          store.write(from, known.after(written));
-          store.sync();
-          written = known.last(), bytes = store.bytes() - before;
-          known.forget_gone(at(from), written);
-          if (store.snapshot_due()) scheduler.ask_for(snapshot);
-        } else if (*task == snapshot) {
-          std::vector<recovery::Entry> live;
-          for (auto& e : known.after(0))
-            if (!e.gone) live.push_back(std::move(e));
-          store.snapshot(from, live);
-          ++snapshots;
-        } else if (*task == check) {
-          const auto all = verify(*disk_, s_);
-          ++checked;
-          for (const auto& c : all) {
-            bytes += c.bytes;
-            if (!c.fault.empty()) say_("store_damaged", c.file + ": " + c.fault);
-          }
-        }
-        scheduler.ran(*task, at(now), at(clocks_()) - at(from), bytes, true);
-      }
+    const std::lock_guard hold{store_lock_};
+    const Clocks now = clocks_();
+    if (facts) known_.observe(at(now), *facts);
+    const auto before = store_->bytes();
+    // With nothing new too: that it still holds is news.
+    store_->write(now, known_.after(written_));
+    store_->sync();
+    written_ = known_.last();
+    known_.forget_gone(at(now), written_);
+    const bool due = store_->snapshot_due();
+    {
       const std::lock_guard lock{lock_};
-      counters_ = {store.bytes(), store.syncs(), snapshots, checked, false};
+      counters_.bytes = store_->bytes(), counters_.syncs = store_->syncs();
     }
-  } catch (const std::exception& fault) {
-    say_("store_stopped", fault.what());
+    if (due) background_.ask_for(snapshot_);
+    return {store_->bytes() - before, true};
+  } catch (const DiskError& fault) {
+    stop(fault.what());
+    return {};
+  }
+}
+
+Piece Keeper::snapshot() {
+  if (counters().stopped) return {};
+  try {
+    const std::lock_guard hold{store_lock_};
+    std::vector<recovery::Entry> live;
+    for (auto& e : known_.after(0))
+      if (!e.gone) live.push_back(std::move(e));
+    const auto before = store_->bytes();
+    store_->snapshot(clocks_(), live);
     const std::lock_guard lock{lock_};
-    counters_.stopped = true;
+    ++counters_.snapshots, counters_.bytes = store_->bytes(), counters_.syncs = store_->syncs();
+    return {store_->bytes() - before, true};
+  } catch (const DiskError& fault) {
+    stop(fault.what());
+    return {};
+  }
+}
+
+// In slices, of the older generation: the newer one is still being written, and is read at the next start.
+Piece Keeper::check() {
+  if (counters().stopped) return {};
+  std::size_t n = 0;
+  try {
+    if (!verification_) verification_ = std::make_unique<Verification>(*disk_, s_, older_generation(*disk_));
+    n = verification_->slice(kSlice);
+    if (!verification_->done()) return {n, false};
+    const Checked found = verification_->result();
+    if (!found.fault.empty()) say_("store_damaged", found.file + ": " + found.fault);
+  } catch (const DiskError& fault) {
+    say_("store_damaged", fault.what());  // the folder can't be listed: the next write says if it matters
   }
+  verification_.reset();
+  const std::lock_guard lock{lock_};
+  ++counters_.checked;
+  return {n, true};
 }
 
 }  // namespace gorsemount::store
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kPayloadMost = 64U << 20U;
 constexpr std::size_t kBatch = 512;        // facts in a record of a snapshot: a torn write costs no more
 constexpr std::size_t kGenerations = 2;
+constexpr std::size_t kReadAtOnce = 4U << 20U;  // where nobody waits
 enum Kind : std::uint8_t { identity = 1, facts = 2, snapshot_ends = 3, changes = 4 };
 
 template <class Int>
@@ -49,12 +50,14 @@
   // The next record; empty at the end or at the first that can't be believed, which fault() names then.
   std::optional<Record> next() {
     const std::string_view left = bytes_.substr(at_);
+    short_ = false;
     if (left.empty()) return {};
     const auto bad = [&](const std::string& what) {
-      fault_ = "byte " + std::to_string(at_) + ": " + what;
+      fault_ = "byte " + std::to_string(before_ + at_) + ": " + what;
       return std::nullopt;
     };
-    if (left.size() < kHead) return bad("cut off within a record's head");
+    short_ = left.size() < kHead;
+    if (short_) return bad("cut off within a record's head");
     if (get<std::uint32_t>(left, 0) != kMagic) return bad("no record begins here");
     Record r;
     r.schema = get<std::uint16_t>(left, 4), r.kind = get<std::uint8_t>(left, 6);
@@ -63,7 +66,8 @@
     r.sequence = get<std::uint64_t>(left, 12), r.at.wall = get<std::int64_t>(left, 20), r.at.mono = get<std::int64_t>(left, 28);
     if (length > kPayloadMost) return bad("a record that announces " + std::to_string(length) + " bytes");
     r.size = kHead + length + kSum + (mac ? kMac : 0);
-    if (left.size() < r.size) return bad("cut off within a record");
+    short_ = left.size() < r.size;
+    if (short_) return bad("cut off within a record");
     if (s_->check && XXH3_64bits(left.data(), kHead + length) != get<std::uint64_t>(left, kHead + length)) return bad("wrong checksum");
     if (r.schema > kSchema) return bad("schema " + std::to_string(r.schema) + "; this program reads up to " + std::to_string(kSchema));
     if (r.schema + 1 < kSchema) return bad("schema " + std::to_string(r.schema) + " is too old");
@@ -83,12 +87,17 @@
     return r;
   }
   [[nodiscard]] const std::string& fault() const { return fault_; }
-  [[nodiscard]] std::size_t at() const { return at_; }
+  [[nodiscard]] std::size_t at() const { return before_ + at_; }
+  // Whether the fault is only that the bytes end; then more of them may follow.
+  [[nodiscard]] bool is_short() const { return short_; }
+  // Goes on with bytes that begin where the last good record ended.
+  void go_on(std::string_view bytes) { before_ += at_, at_ = 0, bytes_ = bytes, fault_.clear(); }
 
  private:
   std::string_view bytes_;
   const StoreSettings* s_;
-  std::size_t at_ = 0;
+  std::size_t at_ = 0, before_ = 0;
+  bool short_ = false;
   std::uint64_t sequence_ = 0;
   std::array<std::uint8_t, 32> chain_{};
   std::string fault_;
@@ -246,28 +255,64 @@
 
 bool Store::snapshot_due() const { return behind_ > std::max(s_.snapshot_after, of_snapshot_); }
 
+struct Verification::State {
+  State(Disk& where, const StoreSettings& settings) : disk{where}, s{settings} {}
+  Disk& disk;
+  StoreSettings s;
+  Walk walk{{}, s};
+  Checked checked;
+  std::string bytes;  // read, and not yet walked over
+  bool done = false;
+};
+
+Verification::Verification(Disk& disk, const StoreSettings& settings, std::string file) : state_{std::make_unique<State>(disk, settings)} {
+  state_->checked.file = std::move(file);
+  state_->done = state_->checked.file.empty();
+}
+Verification::~Verification() = default;
+bool Verification::done() const { return state_->done; }
+Checked Verification::result() const { return state_->checked; }
+
+std::size_t Verification::slice(std::size_t most) {
+  State& v = *state_;
+  if (v.done) return 0;
+  std::string more;
+  try {
+    more = v.disk.read_part(v.checked.file, v.checked.bytes, most);
+  } catch (const DiskError& fault) {
+    const auto names = v.disk.list();
+    if (std::find(names.begin(), names.end(), v.checked.file) != names.end()) v.checked.fault = fault.what();
+    v.done = true;
+    return 0;
+  }
+  v.bytes.erase(0, v.walk.at() - (v.checked.bytes - v.bytes.size()));
+  v.bytes += more, v.checked.bytes += more.size();
+  v.walk.go_on(v.bytes);
+  while (const auto r = v.walk.next()) {
+    ++v.checked.records;
+    v.checked.whole_snapshot = v.checked.whole_snapshot || r->kind == snapshot_ends;
+    if (r->kind != facts && r->kind != changes) continue;
+    if (const auto entries = recovery::decode(r->payload, Instant{}); std::holds_alternative<std::string>(entries) && v.checked.fault.empty())
+      v.checked.fault = "before byte " + std::to_string(v.walk.at()) + ": " + std::get<std::string>(entries);
+  }
+  v.checked.good = v.walk.at();
+  const bool ended = more.size() < most;
+  v.done = ended || !(v.walk.fault().empty() || v.walk.is_short());
+  if (v.done && v.checked.fault.empty()) v.checked.fault = v.walk.fault();
+  return more.size();
+}
+
+std::string older_generation(Disk& disk) {
+  const auto all = generations(disk);
+  return all.size() < 2 ? "" : std::to_string(all[1]) + ".store";
+}
+
 std::vector<Checked> verify(Disk& disk, const StoreSettings& s) {
   std::vector<Checked> all;
   for (const auto generation : generations(disk)) {
-    Checked c;
-    c.file = std::to_string(generation) + ".store";
-    try {
-      const std::string bytes = disk.read(c.file);
-      c.bytes = bytes.size();
-      Walk walk{bytes, s};
-      while (const auto r = walk.next()) {
-        ++c.records;
-        c.whole_snapshot = c.whole_snapshot || r->kind == snapshot_ends;
-        if (r->kind != facts && r->kind != changes) continue;
-        if (const auto entries = recovery::decode(r->payload, Instant{}); std::holds_alternative<std::string>(entries) && c.fault.empty())
-          c.fault = "before byte " + std::to_string(walk.at()) + ": " + std::get<std::string>(entries);
-      }
-      c.good = walk.at();
-      if (c.fault.empty()) c.fault = walk.fault();
-    } catch (const DiskError& fault) {
-      c.fault = fault.what();
-    }
-    all.push_back(std::move(c));
+    Verification v{disk, s, std::to_string(generation) + ".store"};
+    while (!v.done()) v.slice(kReadAtOnce);
+    all.push_back(v.result());
   }
   return all;
 }
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -71,4 +71,24 @@
 };
 [[nodiscard]] std::vector<Checked> verify(Disk& disk, const StoreSettings& settings);
 
+// The same of one file, a slice at a time, in memory that does not grow with the file but with its largest record.
+class Verification {
+ public:
+  // `file` empty: nothing is to be done.
+  Verification(Disk& disk, const StoreSettings& settings, std::string file);
+  ~Verification();
+  Verification(const Verification&) = delete;
+  Verification& operator=(const Verification&) = delete;
+  // Reads on by `bytes` at most; returns how many it read. A file that is gone meanwhile is no fault.
+  std::size_t slice(std::size_t bytes);
+  [[nodiscard]] bool done() const;
+  [[nodiscard]] Checked result() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+// The file's name; empty if there is only one.
+[[nodiscard]] std::string older_generation(Disk& disk);
+
 }  // namespace gorsemount::store
--- a/tests/record/record_test.cpp
+++ b/tests/record/record_test.cpp
@@ -13,6 +13,7 @@
 #include "config/settings.hpp"
 #include "lab/replay/compare.hpp"
 #include "lab/replay/same.hpp"
+#include "net/loop.hpp"
 #include "record/codec.hpp"
 #include "record/recorder.hpp"
 #include "record/tools.hpp"
@@ -177,9 +178,10 @@
   EXPECT_EQ(detail_for(80, 100), Detail::no_inputs);
   EXPECT_EQ(detail_for(100, 100), Detail::nothing);
   const Folder folder;
-  EXPECT_THROW((Recorder{{folder.at("nowhere/a.h5"), 1U << 30U, 64}, {}, Instant{}, [](const std::string&) {}}), std::runtime_error);
+  background::Background background{net::monotonic_now};
+  EXPECT_THROW((Recorder{background, {folder.at("nowhere/a.h5"), 1U << 30U, 64}, {}, Instant{}, [](const std::string&) {}}), std::runtime_error);
   // More than the writer keeps up with: nothing waits, and what was left out is counted.
-  Recorder recorder{{folder.at("a.h5"), 1U << 30U, 4}, {}, Instant{}, [](const std::string&) {}};
+  Recorder recorder{background, {folder.at("a.h5"), 1U << 30U, 4}, {}, Instant{}, [](const std::string&) {}};
   for (int k = 0; k < 3000; ++k) recorder.step(Instant::at_seconds(k), some_inputs(), Effects{});
   const auto left = recorder.left_out();
   EXPECT_GT(left.at("steps"), 0U);
@@ -200,7 +202,8 @@
   const auto settings = config::read_settings(header.settings, "s", findings);
   ASSERT_TRUE(findings.faults.empty()) << findings.faults.front().text();
   {
-    Recorder recorder{{folder.at("a.h5"), 1U << 30U, 100000}, header, Instant{}, [](const std::string&) {}};
+    background::Background background{net::monotonic_now};
+    Recorder recorder{background, {folder.at("a.h5"), 1U << 30U, 100000}, header, Instant{}, [](const std::string&) {}};
     Rig rig{9, settings.core};
     Coordinator core{settings.core, module_of(settings.core)};
     Instant now = Instant::at_seconds(5000);
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -4,11 +4,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <map>
 #include <random>
+#include <thread>
 
+#include "net/loop.hpp"
 #include "recovery/belief.hpp"
 #include "store/keeper.hpp"
 
@@ -274,25 +278,101 @@
   std::filesystem::remove_all(text);
 }
 
-TEST(Scheduler, RunsByPriorityWithinItsBytes) {
-  Scheduler s;
-  const auto write = s.add({"write", 0, Span::seconds(0.5), 0}, instant(0));
-  const auto check = s.add({"check", 2, Span::seconds(1), 1000}, instant(0));
-  const auto snapshot = s.add({"snapshot", 1, {}, 0}, instant(0));
-  EXPECT_FALSE(s.next(instant(0.1)));
-  EXPECT_EQ(s.wake_at(instant(0.1)), instant(0.5));
-  EXPECT_EQ(s.next(instant(2)), write);
-  s.ask_for(snapshot);
-  s.ran(write, instant(2), Span::seconds(0.01), 100, true);
-  EXPECT_EQ(s.next(instant(2)), snapshot);
-  s.ran(snapshot, instant(2), Span::seconds(0.02), 100, true);
-  EXPECT_EQ(s.next(instant(2)), check);
-  s.ran(check, instant(2), Span::seconds(0.1), 5000, false);
-  EXPECT_FALSE(s.next(instant(2.1))) << "its bytes are to be paid off";
-  EXPECT_EQ(s.next(instant(7.1)), write);
-  s.ran(write, instant(7.1), {}, 0, true);
-  EXPECT_EQ(s.next(instant(7.1)), check) << "it goes on";
-  EXPECT_EQ(s.longest(check).seconds(), 0.1);
+// A folder with two generations; returns the older one's name.
+std::string two_generations(Disk& disk, const StoreSettings& s) {
+  Store store{disk, s, at(0), state(0, 0)};
+  for (int n = 1; n < 60; ++n) store.write(at(n), state(n, static_cast<std::uint64_t>(n) * 12));
+  store.snapshot(at(60), state(60, 720));
+  store.write(at(61), state(61, 732));
+  return older_generation(disk);
+}
+
+TEST(Verification, InSlicesOfAnySizeFindsWhatOneLookFinds) {
+  std::string text = (std::filesystem::temp_directory_path() / "gorsemount-verify-XXXXXX").string();
+  ASSERT_NE(mkdtemp(text.data()), nullptr);
+  StoreSettings s;
+  s.who = "pwani-1", s.key = Key{7};
+  auto disk = open_folder(text);
+  const std::string older = two_generations(*disk, s);
+  ASSERT_FALSE(older.empty());
+  const std::string good = disk->read(older);
+  std::mt19937 chance{9};
+  for (int round = 0; round < 200; ++round) {
+    std::string bytes = good;
+    if (round % 4 == 1) bytes[chance() % bytes.size()] ^= static_cast<char>(1U << chance() % 8);
+    if (round % 4 == 2) bytes.resize(chance() % bytes.size());
+    disk->create("x.store"), disk->append("x.store", bytes);
+    Verification whole{*disk, s, "x.store"}, slices{*disk, s, "x.store"};
+    whole.slice(good.size() + 1);
+    ASSERT_TRUE(whole.done());
+    const std::size_t slice = 1 + chance() % 700;
+    while (!slices.done()) slices.slice(slice);
+    EXPECT_EQ(slices.result().fault, whole.result().fault) << round;
+    EXPECT_EQ(slices.result().good, whole.result().good);
+    EXPECT_EQ(slices.result().records, whole.result().records);
+    if (round % 4 != 2) {
+      EXPECT_EQ(whole.result().fault.empty(), round % 4 != 1) << whole.result().fault;
+    }
+  }
+  Verification gone{*disk, s, "x.store"};
+  gone.slice(100);
+  disk->remove("x.store");
+  gone.slice(100);
+  EXPECT_TRUE(gone.done());
+  EXPECT_TRUE(gone.result().fault.empty()) << "compacted away meanwhile";
+  disk.reset();
+  std::filesystem::remove_all(text);
+}
+
+// A disk on which reading hangs: what is promised is written and synced all the same.
+class HangsOnReading : public Disk {
+ public:
+  explicit HangsOnReading(std::unique_ptr<Disk> inner) : inner_{std::move(inner)} {}
+  void create(const std::string& name) override { inner_->create(name); }
+  void append(const std::string& name, std::string_view bytes) override { inner_->append(name, bytes); }
+  void sync(const std::string& name) override { inner_->sync(name); }
+  void rename(const std::string& from, const std::string& to) override { inner_->rename(from, to); }
+  void sync_folder() override { inner_->sync_folder(); }
+  void remove(const std::string& name) override { inner_->remove(name); }
+  std::vector<std::string> list() override { return inner_->list(); }
+  std::string read(const std::string& name) override { return inner_->read(name); }
+  std::string read_part(const std::string& name, std::size_t from, std::size_t most) override {
+    if (hangs) hung = true;
+    while (hangs) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return inner_->read_part(name, from, most);
+  }
+  std::atomic<bool> hangs{true}, hung{false};
+
+ private:
+  std::unique_ptr<Disk> inner_;
+};
+
+TEST(Keeper, WritesOnWhileACheckHangs) {
+  std::string text = (std::filesystem::temp_directory_path() / "gorsemount-keeper-XXXXXX").string();
+  ASSERT_NE(mkdtemp(text.data()), nullptr);
+  StoreSettings s;
+  s.who = "pwani-1";
+  {
+    auto first = open_folder(text);
+    two_generations(*first, s);
+  }
+  // Time runs a hundred times as fast for the tasks: a check is due within a second.
+  const Instant begin = net::monotonic_now();
+  const auto fast = [begin] { return Instant{} + (net::monotonic_now() - begin) * 100; };
+  background::Background background{fast};
+  auto disk = std::make_unique<HangsOnReading>(open_folder(text));
+  HangsOnReading& held = *disk;
+  {
+    Keeper keeper{background, std::move(disk), s, state(61, 732), [&] { return at((fast() - Instant{}).seconds() + 62); },
+                  [](const std::string& event, const std::string& what) { ADD_FAILURE() << event << " " << what; }};
+    while (!held.hung) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    const auto before = keeper.counters();
+    while (keeper.counters().syncs < before.syncs + 4) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_EQ(keeper.counters().checked, 0U);
+    held.hangs = false;
+    while (keeper.counters().checked == 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::filesystem::remove_all(text);
 }
 
 }  // namespace
