--- a/bench/restart-300.hcl
+++ b/bench/restart-300.hcl
@@ -1,4 +1,4 @@
-# A zone answers half of its work with errors from 6 s on; its drain is under way when the coordinator is killed.
+# A zone answers a third of its work with errors from 6 s on; its drain is under way when the coordinator is killed.
 day {
   name   = "restart-300"
   length = "80s"
--- a/src/script/day.cpp
+++ b/src/script/day.cpp
@@ -125,7 +125,11 @@
     if (std::find(names.begin(), names.end(), b->labels[0].first) == names.end())
       in.fault(b->labels[0].second, fmt::format("no coordinator is called \"{}\"; known here: {}",
                                                 b->labels[0].first, fmt::join(names, ", ")));
-    day.kills.push_back({b->labels[0].first, some(in, "at", std::nullopt), some(in, "lasts", std::nullopt), in.flag("pause", false), in.flag("planned", false)});
+    Kill kill{b->labels[0].first, some(in, "at", std::nullopt), some(in, "lasts", std::nullopt), in.flag("pause", false), in.flag("planned", false)};
+    const auto times = static_cast<int>(in.number("times", 1, {1, 1000, true}));
+    const Span every = some(in, "every", 0);
+    if (times > 1 && every <= kill.lasts) in.fault(in.place("times"), "several times need an 'every' above 'lasts'");
+    for (int k = 0; k < times; ++k) day.kills.push_back(kill), kill.at = kill.at + every;
     in.done();
   }
   config::Section cuts = root.only("cuts");
@@ -163,7 +167,7 @@
   day.settle = some(in, "settle", 3);
   day.shared = in.flag("shared", false);
   day.lease = some(in, "lease", 1);
-  day.record = in.flag("record", false);
+  day.record = in.flag("record", false), day.keeps = in.flag("keeps", false);
   day.churn = some(in, "churn", 0);
   in.done();
   config::Section rules = root.only("rules");
@@ -291,6 +295,7 @@
       text += fmt::format("member \"pwani-{}\" {{\n  address = \"{}:7000\"\n}}\n", k, places.coordinator(k).address.text());
   }
   if (day.record && folder != ".") text += fmt::format("recording {{\n  file = \"{}/pwani-{}.h5\"\n}}\n", folder, number);
+  if (day.keeps && folder != ".") text += fmt::format("store {{\n  folder = \"{}/pwani-{}.store\"\n}}\n", folder, number);
   text += fmt::format("roster {{\n  file = \"{0}/roster.hcl\"\n}}\nlog {{\n  file = \"{0}/pwani-{1}.log\"\n"
                       "  records = \"{0}/pwani-{1}.records\"\n}}\n",
                       folder, number);
--- a/src/script/day.hpp
+++ b/src/script/day.hpp
@@ -112,6 +112,7 @@
   bool spill = false;                             // flows by tiers
   std::map<std::string, std::vector<std::string>> near;  // by zone
   bool record = false;  // coordinators write recordings
+  bool keeps = false;   // coordinators keep a store, and recall it
   bool shared = false;  // the coordinators share the forwarders and take over from one another
   Span lease;
   Unsafe unsafe;
