Balance cuts under tiers, move least in strain, feed a returning zone from all proxies

Parts are now reckoned by cut, demand is a mean of 8 rounds, strain is a linear program of its own (fullest zone least, then least change), a returning zone is fed by all, and a table that differs by a scale is no message.

--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -129,6 +129,8 @@
   void recall_backend(BackendId id, Row& row, Memory& memory);
   void end_care();
   void decide_spill(const std::vector<Event>& reports);
+  void share_cuts();
+  [[nodiscard]] std::vector<double> parts_of_cut(const Table& table, ZoneId proxies, const std::vector<double>& in_table) const;
   [[nodiscard]] spill::Trips trips(const std::vector<Event>& reports);
   [[nodiscard]] TablePtr spilled(TablePtr table, ZoneId proxies);
   [[nodiscard]] std::map<BackendId, double> lines_for(ProxyId forwarder, const Table& table) const;
@@ -186,6 +188,8 @@
   std::optional<spill::Spill> spill_;
   std::vector<std::vector<double>> parts_of_zones_;
   std::vector<std::vector<int>> turn_to_;
+  std::deque<std::vector<spill::Problem::Class>> demands_;  // the last rounds'
+  std::map<std::pair<TableId, ZoneId>, double> cut_shares_;
   std::map<std::pair<std::size_t, std::size_t>, std::deque<Span>> trips_;  // the last rounds'
   std::vector<bool> tiers_doubted_;
   std::uint64_t spill_version_ = 0;
--- a/src/coordinator/zones.cpp
+++ b/src/coordinator/zones.cpp
@@ -13,6 +13,12 @@
 constexpr double kFactorMost = 6;
 // A link of which the module's ladder has left less is cut, as far as flows go.
 constexpr double kLinkGone = 0.05;
+// From here on tables are the module's for one zone of proxies; below, the cuts of the shared one.
+constexpr std::uint16_t kFirstOwnTable = 1000;
+// A cut's share that moved by less is noise of what came.
+constexpr double kShareMoved = 0.05;
+// Rounds of demand that count: at 500 invocations a round and zone their mean is noise by 1.5%.
+constexpr std::size_t kDemandRounds = 8;
 // A trip is the middle of so many rounds; a backend counts that was met so often in one.
 constexpr std::size_t kTripRounds = 9;
 constexpr int kTripTries = 2;
@@ -27,7 +33,7 @@
     if (row.told && row.told->availability == Availability::ready) now[row.entry.zone.value].listed += row.told->weight;
   for (const auto& [id, table] : versions_) {
     // The cuts of the shared table; a zone's own tables repeat their lines.
-    if (id.value >= 1000) continue;
+    if (id.value >= kFirstOwnTable) continue;
     for (const auto& [backend, weight] : table->lines)
       if (const auto row = rows_.find(backend); row != rows_.end()) now[row->second.entry.zone.value].weight += weight;
   }
@@ -45,6 +51,15 @@
       mean_cost += rate * classes[d->operation.value].cost, all += rate;
     }
   mean_cost = all > 0 ? mean_cost / all : 0;
+  // A round's count of a zone is noise by some percent; the mean of the last ones is not.
+  demands_.push_back(classes);
+  if (demands_.size() > kDemandRounds) demands_.pop_front();
+  for (std::size_t c = 0; c < classes.size(); ++c)
+    for (std::size_t z = 0; z < zones; ++z) {
+      double sum = 0;
+      for (const auto& round : demands_) sum += round[c].demand[z];
+      classes[c].demand[z] = sum / static_cast<double>(demands_.size());
+    }
   // Reports count health calls too, of which each worker gets as many: so what came in is what arrived, and they tell
   // only whose part of it came back.
   double came_back = 0;
@@ -69,11 +84,66 @@
       if (d.tiers_doubted[z] && (tiers_doubted_.empty() || !tiers_doubted_[z])) note(Note::Weight::warning, "tiers_doubted", {{"zone", s_.zones[z]}});
     tiers_doubted_ = d.tiers_doubted;
   }
+  share_cuts();
   if (d.parts.empty() || (d.parts == parts_of_zones_ && d.turn_to == turn_to_)) return;
   parts_of_zones_ = d.parts, turn_to_ = d.turn_to;
   ++spill_version_;
 }
 
+// How much of a zone of proxies' work goes by each cut.
+void Coordinator::share_cuts() {
+  std::map<std::pair<TableId, ZoneId>, double> share;
+  std::map<ZoneId, double> all;
+  for (const auto& [proxy, table] : bound_) {
+    const ZoneId zone = is_forwarder(proxy) ? s_.forwarders[proxy.value - kFirstForwarder].zone : s_.groups[proxy.value].zone;
+    const double rate = attendance_.usual_rate(proxy);
+    share[{table, zone}] += rate, all[zone] += rate;
+  }
+  bool moved = share.size() != cut_shares_.size();
+  for (auto& [key, part] : share) {
+    part = all[key.second] > 0 ? part / all[key.second] : 0;
+    const auto was = cut_shares_.find(key);
+    moved = moved || was == cut_shares_.end() || std::abs(was->second - part) > kShareMoved;
+  }
+  if (!moved) return;
+  cut_shares_ = std::move(share);
+  ++spill_version_;
+}
+
+// The parts of a zone of proxies' work as one cut is to carry them: a cut that has more than its share of a zone's lines
+// takes more of what goes there, so that a worker's load does not hang on the cut it fell into. What a cut has too few
+// lines for goes to the other zones by their lines.
+std::vector<double> Coordinator::parts_of_cut(const Table& table, ZoneId proxies, const std::vector<double>& in_table) const {
+  std::vector<double> parts = parts_of_zones_[proxies.value], total(parts.size(), 0);
+  const auto share = cut_shares_.find({table.id, proxies});
+  if (share == cut_shares_.end() || share->second <= 0) return parts;
+  for (const auto& [id, version] : versions_)
+    if (id.value < kFirstOwnTable)
+      for (const auto& [backend, weight] : version->lines)
+        if (const auto row = rows_.find(backend); row != rows_.end()) total[row->second.entry.zone.value] += weight;
+  double sum = 0, lines = 0;
+  for (std::size_t z = 0; z < parts.size(); ++z) {
+    parts[z] *= total[z] > 0 ? in_table[z] / total[z] / share->second : 0;
+    sum += parts[z], lines += parts[z] > 0 ? in_table[z] : 0;
+  }
+  if (sum <= 0 || lines <= 0) return parts_of_zones_[proxies.value];
+  if (sum >= 1) {
+    for (double& part : parts) part /= sum;
+    return parts;
+  }
+  const auto most = static_cast<std::size_t>(std::max_element(parts.begin(), parts.end()) - parts.begin());
+  const double others = lines - in_table[most];
+  for (std::size_t z = 0; z < parts.size(); ++z) {
+    if (parts[z] <= 0) continue;
+    if (others <= 0) {
+      parts[z] /= sum;
+    } else if (z != most) {
+      parts[z] += (1 - sum) * in_table[z] / others;
+    }
+  }
+  return parts;
+}
+
 // Of each round the quickest backends' means, so that a queue is not taken for a long way; of those the middle.
 spill::Trips Coordinator::trips(const std::vector<Event>& reports) {
   spill::Trips quickest;
@@ -102,11 +172,11 @@
   auto& [key, made] = spilled_[{table->id, proxies}];
   if (made && key == std::pair{table->version, spill_version_}) return made;
   key = {table->version, spill_version_};
-  const auto& parts = parts_of_zones_[proxies.value];
   std::vector<double> weight(s_.zones.size(), 0);
   double all = 0;
   for (const auto& [id, w] : table->lines)
     if (const auto row = rows_.find(id); row != rows_.end()) weight[row->second.entry.zone.value] += w, all += w;
+  const auto parts = parts_of_cut(*table, proxies, weight);
   Table fresh = *table;
   bool warm_left = false;
   for (auto it = fresh.lines.begin(); it != fresh.lines.end();) {
@@ -127,13 +197,21 @@
   if (!warm_left) return made = table;  // rule 1 goes before any preference
   // What moved by less than a tenth keeps its number, or every round would send every line; but for a backend that is
   // starting, which must not keep more than it is to have.
-  if (made)
+  // Only what a line weighs beside the others counts, so both tables are brought to one scale first: a proxy zone that
+  // has lost a whole zone of lines keeps all that it has left as it is.
+  if (made) {
+    double before = 0, after = 0;
+    for (const auto& [id, w] : fresh.lines)
+      if (const auto was = made->lines.find(id); was != made->lines.end()) before += was->second, after += w;
+    const double scale = after > 0 && before > 0 ? before / after : 1;
     for (auto& [id, w] : fresh.lines) {
+      w *= scale;
       const auto was = made->lines.find(id);
       if (was == made->lines.end() || std::abs(was->second - w) >= 0.1 * was->second) continue;
       const auto row = rows_.find(id);
       if (w >= was->second || (row != rows_.end() && warm(row->second))) w = was->second;
     }
+  }
   if (proxies.value < turn_to_.size()) fresh.tiers = turn_to_[proxies.value];
   if (made && made->lines == fresh.lines && made->levels == fresh.levels && made->tiers == fresh.tiers) return made;
   fresh.version = ++table_version_;
--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -313,7 +313,8 @@
     h.inputs.clear(), h.missed.clear();
     h.published.reset(), h.ids.assign(workers.size(), std::nullopt), h.asking.assign(workers.size(), false);
     h.streams.assign(fronts.size(), {});
-    const auto settings = s.settings ? s.settings(h.number) : settings_of(day, h.number);
+    auto settings = s.settings ? s.settings(h.number) : settings_of(day, h.number);
+    if (s.decider != Decider::module) settings.spill = false;  // what it is to be compared with
     h.core = std::make_unique<Coordinator>(settings, decide(settings));
     h.ids_of_fronts.assign(fronts.size(), 0), h.fronts.clear();
     for (std::size_t k = 0; k < settings.forwarders.size(); ++k)
--- a/src/spill/flows.cpp
+++ b/src/spill/flows.cpp
@@ -19,8 +19,8 @@
   explicit Program(const Problem& p) : p_{p}, zones_{p.tier.size()}, backends_{p.capacity.size()}, lp_{glp_create_prob(), glp_delete_prob} {
     glp_term_out(GLP_OFF);
     const std::size_t flows = p.classes.size() * zones_ * backends_, losts = p.classes.size() * zones_, changes = zones_ * backends_;
-    glp_add_cols(lp_.get(), static_cast<int>(flows + losts + changes));
-    for (std::size_t k = 0; k < flows + losts + changes; ++k) glp_set_col_bnds(lp_.get(), static_cast<int>(k + 1), GLP_LO, 0, 0);
+    glp_add_cols(lp_.get(), static_cast<int>(flows + losts + changes + 1));
+    for (std::size_t k = 0; k < flows + losts + changes + 1; ++k) glp_set_col_bnds(lp_.get(), static_cast<int>(k + 1), GLP_LO, 0, 0);
     for (std::size_t c = 0; c < p.classes.size(); ++c)
       for (std::size_t z = 0; z < zones_; ++z) {
         std::vector<std::pair<int, double>> row{{lost(c, z), 1}};
@@ -31,13 +31,20 @@
             row.emplace_back(flow(c, z, b), 1);
           }
         }
+        // Where nothing can be reached at all, even in strain work is lost.
+        if (!p.even.empty() && row.size() > 1) glp_set_col_bnds(lp_.get(), lost(c, z), GLP_FX, 0, 0);
         add(row, GLP_FX, std::max(0.0, p.classes[c].demand[z]));
       }
     for (std::size_t b = 0; b < backends_; ++b) {
       std::vector<std::pair<int, double>> row;
       for (std::size_t c = 0; c < p.classes.size(); ++c)
         for (std::size_t z = 0; z < zones_; ++z) row.emplace_back(flow(c, z, b), p.classes[c].cost);
-      add(row, GLP_UP, std::max(0.0, p.capacity[b]));
+      if (p.even.empty()) {
+        add(row, GLP_UP, std::max(0.0, p.capacity[b]));
+      } else {
+        row.emplace_back(fullest(), -std::max(1e-6, p.even[b]));
+        add(row, GLP_UP, 0);
+      }
     }
     if (p.now.empty()) return;
     for (std::size_t z = 0; z < zones_; ++z)
@@ -50,10 +57,12 @@
         }
   }
 
-  enum class Aim { lost, crossings, change };
+  enum class Aim { fullest, lost, crossings, change };
   double minimize(Aim aim) {
     std::vector<std::pair<int, double>> terms;
-    if (aim == Aim::lost) {
+    if (aim == Aim::fullest) {
+      terms.emplace_back(fullest(), 1);
+    } else if (aim == Aim::lost) {
       for (std::size_t c = 0; c < p_.classes.size(); ++c)
         for (std::size_t z = 0; z < zones_; ++z) terms.emplace_back(lost(c, z), p_.classes[c].value);
     } else if (aim == Aim::crossings) {
@@ -81,6 +90,7 @@
   [[nodiscard]] double at(int column) const { return std::max(0.0, glp_get_col_prim(lp_.get(), column)); }
   [[nodiscard]] int flow(std::size_t c, std::size_t z, std::size_t b) const { return static_cast<int>((c * zones_ + z) * backends_ + b + 1); }
   [[nodiscard]] int lost(std::size_t c, std::size_t z) const { return static_cast<int>(p_.classes.size() * zones_ * backends_ + c * zones_ + z + 1); }
+  [[nodiscard]] int fullest() const { return glp_get_num_cols(lp_.get()); }
   [[nodiscard]] int change(std::size_t z, std::size_t b) const {
     return static_cast<int>(p_.classes.size() * zones_ * (backends_ + 1) + z * backends_ + b + 1);
   }
@@ -106,8 +116,11 @@
   Program program{p};
   Solution s;
   s.lost = program.minimize(Program::Aim::lost);
+  if (!p.even.empty()) s.fullest = program.minimize(Program::Aim::fullest);
+  // In strain what stands moves no more than evenness asks for; else tiers go before that.
+  if (!p.even.empty() && !p.now.empty()) s.change = program.minimize(Program::Aim::change);
   s.crossings = program.minimize(Program::Aim::crossings);
-  if (!p.now.empty()) s.change = program.minimize(Program::Aim::change);
+  if (p.even.empty() && !p.now.empty()) s.change = program.minimize(Program::Aim::change);
   const std::size_t zones = p.tier.size(), backends = p.capacity.size();
   s.flow.assign(zones, std::vector<double>(backends, 0));
   s.admitted.assign(p.classes.size(), std::vector<double>(zones, 1));
--- a/src/spill/flows.hpp
+++ b/src/spill/flows.hpp
@@ -19,11 +19,15 @@
   std::vector<double> capacity;           // cost a second, by backend zone
   std::vector<std::vector<int>> tier;     // [proxy zone][backend zone]: 0 own, 1 near, 2 far; below 0: can't be reached
   std::vector<std::vector<double>> now;   // cost a second that flows there now; empty: nothing is known
+  // In strain, by backend zone: all work is placed, whatever the capacities, so that the fullest zone is as little over
+  // its part of this as can be. Empty: work beyond capacity is lost.
+  std::vector<double> even;
 };
 
 struct Solution {
   std::vector<std::vector<double>> flow;      // cost a second, [proxy zone][backend zone]
   std::vector<std::vector<double>> admitted;  // part of the demand, [class][proxy zone]
+  double fullest = 0;    // in strain: cost a second, over `even`, of the fullest zone
   double lost = 0;       // billed value a second that nothing can take
   double crossings = 0;  // cost a second, times the tier
   double change = 0;     // cost a second that moves
--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gorsemount::spill {
 
@@ -47,7 +48,7 @@
 
 std::optional<double> Spill::capacity(std::size_t zone) const {
   const Zone& z = zones_.at(zone);
-  if (z.able.size() < 4) return {};
+  if (z.able.size() < kRounds / 2) return {};  // the first rounds lag behind a load that has just begun
   return kMargin * quantile(z.able, kQuantile) * z.weight * z.ceiling;
 }
 
@@ -55,16 +56,21 @@
 void Spill::follow(Instant now, Zone& z, const ZoneNow& seen) {
   z.weight = seen.weight;
   const double part = seen.listed > 0 ? seen.weight / seen.listed : 0;
-  if (part < kLost) {
+  const bool rises = part > std::exchange(z.part, part);
+  // While the rest is in strain a first return is paced by the module's ramp alone: each second of what is back is worth
+  // more than a gentler climb, and the ramp keeps cold backends far from what they fall over at.
+  const bool urged = now < strain_until_ && z.relapses == 0;
+  z.early = part < kLost && part >= kTrial && (z.early || (urged && z.lost && rises));
+  if (part < kLost && !z.early) {
     // A list that wavers for a round while a zone goes is no return that failed.
-    if (!z.lost && z.ceiling < 1 && now - z.back >= kUpEvery) ++z.relapses;
+    if (!z.lost && (z.ceiling < 1 || now - z.back < kHold) && now - z.back >= kUpEvery) ++z.relapses;
     z.lost = true, z.ceiling = 0, z.since = now;
     z.held_until = now + kHold * (1 << std::min(z.relapses, 3));
     return;
   }
   if (z.lost) {
     if (now < z.held_until && z.relapses > 0) return;
-    z.lost = false, z.ceiling = kTrial, z.since = z.back = now;
+    z.lost = false, z.ceiling = urged ? 1 : kTrial, z.since = z.back = now;
     return;
   }
   if (z.ceiling >= 1) {
@@ -124,7 +130,7 @@
     for (std::size_t a = 0; a < proxies; ++a)
       for (std::size_t b = 0; b < backends; ++b) p.now[a][b] = parts_[a][b] * of_zone[a];
   }
-  const Solution s = solve(p);
+  Solution s = solve(p);
   d.admitted = s.admitted;
   std::vector<std::vector<double>> wanted(proxies, std::vector<double>(backends, 0));
   double room = 0;
@@ -141,13 +147,31 @@
     strain_until_ = std::max(strain_until_, now + kHold * (1 << strains_));
   }
   d.strain = now < strain_until_;
+  // A cold backend gets no more than the module's ramp gave it in any table, so a zone on its way back fills only if all
+  // proxies feed it: each gives it the same part, and the rest goes as it went.
+  std::vector<double> fed(backends, 0);
+  double rest = 1;
+  if (d.strain && room > 0) {
+    std::size_t whole = 0;
+    for (std::size_t b = 0; b < backends; ++b) {
+      const Zone& z = zones_[b];
+      if (z.weight * z.ceiling > 0 && z.part < kBack) fed[b] = z.weight * z.ceiling / room, rest -= fed[b];
+      whole += z.weight * z.ceiling > 0 && z.part >= kBack ? 1 : 0;
+    }
+    if (whole == 0) fed.assign(backends, 0), rest = 1;  // all of them are on their way
+    for (std::size_t b = 0; b < backends; ++b) {
+      p.even.push_back(fed[b] > 0 ? 0 : zones_[b].weight * zones_[b].ceiling / room);
+      for (std::size_t a = 0; a < proxies && p.even[b] <= 0; ++a) p.tier[a][b] = -1;
+    }
+    s = solve(p);
+  }
   for (std::size_t a = 0; a < proxies; ++a) {
     double sum = 0;
     for (const double f : s.flow[a]) sum += f;
     for (std::size_t b = 0; b < backends; ++b) {
       const Zone& z = zones_[b];
       const double even = room > 0 ? z.weight * z.ceiling / room : 1.0 / static_cast<double>(backends);
-      wanted[a][b] = p.tier[a][b] < 0 ? 0 : d.strain || sum <= 1e-9 ? even : s.flow[a][b] / sum;
+      wanted[a][b] = fed[b] > 0 ? fed[b] : p.tier[a][b] < 0 ? 0 : rest * (sum <= 1e-9 ? even : s.flow[a][b] / sum);
     }
     // Cut off from all of them: the module's table stands, whatever it is worth.
     if (std::all_of(wanted[a].begin(), wanted[a].end(), [](double w) { return w <= 0; })) wanted[a].assign(backends, 1.0 / static_cast<double>(backends));
@@ -182,7 +206,7 @@
       // What stands in a lost zone, or behind a cut link, leaves now.
       if (zones_[b].lost || p.tier[a][b] < 0) forced += less;
     }
-    if (moves < kNoise) continue;
+    if (moves < kNoise && forced <= 0) continue;
     const double bound = std::min(moves, forced + kStep);
     const double part = bound / moves;
     for (std::size_t b = 0; b < backends; ++b) {
--- a/src/spill/spill.hpp
+++ b/src/spill/spill.hpp
@@ -61,6 +61,8 @@
     bool lost = false;
     Instant since, back, held_until;  // since: of the last step; back: when it was lost no more
     int relapses = 0;
+    double part = 1;             // of its listed weight, at the last look
+    bool early = false;          // back, in strain, before its weight says so
   };
   void follow(Instant now, Zone& zone, const ZoneNow& seen);
 
