--- a/tests/dns/dns_test.cpp
+++ b/tests/dns/dns_test.cpp
@@ -218,6 +218,41 @@
   return in;
 }
 
+// RFC 2782: a lower priority is tried first, and weights count among records of one priority.
+TEST_F(Served, TiersArePrioritiesAndAddressesAreOfTheFirst) {
+  start(60);
+  auto published = std::make_shared<coordinator::Published>(*rig->published);
+  auto view = std::make_shared<coordinator::View>(*published->views[0][0]);
+  view->version = 1'000'000;
+  std::set<std::string> later;
+  for (std::size_t k = 0; k < view->lines.size(); ++k) {
+    view->lines[k].tier = k < 40 ? 0 : k < 50 ? 1 : 2;
+    view->lines[k].weight = k < 40 ? 100 : 1;
+    if (k >= 40) later.insert(published->directory->at(view->lines[k].backend).at.address.text());
+  }
+  published->views[0][0] = view;
+  front->publish(published, rig->core.group_map());
+  std::set<std::string> met;
+  for (int n = 0; n < 200; ++n) {
+    const auto p = ask("_read._tcp.refill.test", LDNS_RR_TYPE_SRV);
+    std::map<int, int> by_priority;
+    for (std::size_t k = 0; k < count(p); ++k) {
+      auto* rr = ldns_rr_list_rr(ldns_pkt_answer(p.get()), k);
+      ++by_priority[ldns_rdf2native_int16(ldns_rr_rdf(rr, 0))];
+      EXPECT_GE(ldns_rdf2native_int16(ldns_rr_rdf(rr, 1)), 10) << "a fallback's weight is not next to nothing";
+    }
+    ASSERT_EQ(by_priority, (std::map<int, int>{{10, 12}, {11, 2}, {12, 2}}));
+    const auto a = ask("read.refill.test", LDNS_RR_TYPE_A);
+    for (std::size_t k = 0; k < count(a); ++k) {
+      char* text = ldns_rdf2str(ldns_rr_rdf(ldns_rr_list_rr(ldns_pkt_answer(a.get()), k), 0));
+      EXPECT_FALSE(later.contains(text)) << text;
+      met.insert(text);
+      std::free(text);
+    }
+  }
+  EXPECT_EQ(met.size(), 40U);
+}
+
 TEST_F(Served, AClientsSubnetIsBelievedFromTrustedResolversOnly) {
   const auto in = with_subnet("_read._tcp.refill.test", {127, 2, 0}, 24);
   ASSERT_TRUE(ask(in, true, "127.9.0.53"));
--- a/tests/spill/spill_test.cpp
+++ b/tests/spill/spill_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <cstdio>
 #include <random>
 
 #include "spill/spill.hpp"
@@ -175,7 +176,7 @@
   f.moved = 0;
   int flips = 0;
   double state = 1;
-  for (int k = 0; k < 2400; ++k) {
+  for (int k = 0; k < 960; ++k) {
     const double want = std::fmod(0.5 * k, period) < period / 2 ? 0 : 1;
     flips += want != state ? 1 : 0, state = want;
     f.weight[0] = want;
@@ -184,15 +185,49 @@
   return {f.moved, flips / 3.0};
 }
 
-// Periods near every timer: what moves is no more than what the fault itself takes away and gives back, but for three
-// changes between tiers and an even spread, which this fleet makes before it knows that the zone flaps.
+// Periods near every timer: what moves is no more than what the fault itself takes away and gives back.
 TEST(Spill, AZoneThatFlapsMovesNoMoreThanTheFaultDoes) {
   for (const double period : {1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 10.0, 12.0, 15.0, 20.0, 24.0, 30.0, 40.0, 60.0, 80.0, 90.0, 100.0, 120.0}) {
     const auto [moved, fault] = flap(period);
-    EXPECT_LE(moved, fault * 1.05 + 3 * 0.7) << "period " << period;
+    std::printf("period %5.0f s: moved %.2f of what the fault does (%.0f)\n", period, moved / fault, fault);
+    EXPECT_LE(moved, fault * 1.01) << "period " << period;
   }
 }
 
+TEST(Spill, AZoneThatCantBeReachedFromOneOtherGetsNothingFromThereAndAllElse) {
+  Fleet f;
+  f.rounds(20);
+  std::vector<ZoneNow> zones(3, ZoneNow{100, 100, 100, 0.66});
+  for (int k = 0; k < 20; ++k) f.last = f.spill.decide(at(f.now += 0.5), zones, {{1, 1, {100, 100, 100}}}, {}, {{1, 0}});
+  EXPECT_LT(f.last.parts[1][0], 1e-6);
+  EXPECT_GT(f.last.parts[0][0], 0.9);
+  EXPECT_GT(f.last.parts[2][0], 0.01);
+}
+
+// Half of the true use told makes a zone look twice as able: it must not draw the others' work.
+TEST(Spill, AZoneThatTellsHalfOfItsUseIsNotBelieved) {
+  Spill spill{{{0, 1, 2}, {1, 0, 1}, {2, 1, 0}}};
+  for (int k = 0; k < 30; ++k) {
+    std::vector<ZoneNow> zones(3, ZoneNow{100, 100, 100, 0.66});
+    zones[1].pressure = 0.33;
+    static_cast<void>(spill.decide(at(0.5 * k), zones, {{1, 1, {105, 105, 105}}}, {}));
+  }
+  EXPECT_LT(*spill.capacity(1), 1.11 * *spill.capacity(0));
+  EXPECT_NEAR(*spill.capacity(0), *spill.capacity(2), 1e-9);
+  // 315 where two zones hold 302 with their margins.
+  EXPECT_FALSE(spill.room_without(0));
+}
+
+TEST(Spill, LinesOfAZoneThatIsOnlyToTurnToCarryItsTier) {
+  Fleet f;
+  f.rounds(40);
+  EXPECT_EQ(f.last.turn_to[0], (std::vector<int>{0, 1, 2}));
+  EXPECT_EQ(f.last.turn_to[1], (std::vector<int>{1, 0, 1}));
+  f.weight[0] = 0;
+  f.rounds(4);
+  EXPECT_EQ(f.last.turn_to[0][1], 0) << "now work is meant to go there";
+}
+
 TEST(Spill, TiersThatTripsContradictAreDoubtedAndStand) {
   Fleet f;
   std::vector<ZoneNow> zones(3, ZoneNow{100, 100, 50, 0.4});
