--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -18,8 +18,9 @@
 // zone cost 0.11 of a day's service without this.
 constexpr double kUnlike = 1.1;
 // Tiers fill a zone only to four fifths of that: above it a burst queues. Where that does not hold the work, the fleet
-// is in strain, and all of it is spread evenly, as the module does, till it was not for two holds: a zone that is filled to the brim for the sake of a tier jams, its ladders take weight away,
-// and what it loses jams the next one (measured: docs/zones.md).
+// is in strain, and all of it is placed so that no zone is fuller than it need be, till that was not so for two holds: a
+// zone that is filled to the brim for the sake of a tier jams, its ladders take weight away, and what it loses jams the
+// next one (measured: docs/zones.md).
 constexpr double kComfort = 0.8;
 // Guards against a zone whose flapping takes the fleet from tiers to an even spread and back each time, which moves more
 // than the fault does: each strain lasts twice as long as the one before, and one is forgotten in half an hour, which is
--- a/tests/spill/spill_test.cpp
+++ b/tests/spill/spill_test.cpp
@@ -63,6 +63,45 @@
   }
 }
 
+// In strain: no way to place whole invocations leaves the fullest zone less full.
+TEST(Flows, InStrainTheFullestZoneIsAsLittleOverItsPartAsCanBe) {
+  std::mt19937 chance{6};
+  for (int round = 0; round < 100; ++round) {
+    Problem p;
+    p.tier = {{0, 1, 2}, {1, 0, 1}};
+    if (round % 4 == 0) p.tier[1][2] = -1;
+    p.capacity = {1, 1, 1};
+    for (int b = 0; b < 3; ++b) p.even.push_back(0.1 + static_cast<double>(chance() % 10) / 10);
+    if (round % 2 == 0) p.now = {{2, 1, 0}, {0, 2, 1}};
+    p.classes = {{1, 1, {static_cast<double>(chance() % 5), static_cast<double>(chance() % 5)}}};
+    const auto demand = p.classes[0].demand;
+    double best = 1e18;
+    const int n0 = static_cast<int>(demand[0]), n1 = static_cast<int>(demand[1]);
+    for (int a = 0; a <= n0; ++a)
+      for (int b = 0; a + b <= n0; ++b)
+        for (int c = 0; c <= n1; ++c)
+          for (int d = 0; c + d <= n1; ++d) {
+            if (p.tier[1][2] < 0 && c + d < n1) continue;
+            const double load[] = {1.0 * (a + c), 1.0 * (b + d), 1.0 * (n0 - a - b + n1 - c - d)};
+            double fullest = 0;
+            for (int z = 0; z < 3; ++z) fullest = std::max(fullest, load[z] / p.even[static_cast<std::size_t>(z)]);
+            best = std::min(best, fullest);
+          }
+    const auto s = solve(p);
+    EXPECT_LE(s.fullest, best + 1e-4) << round;
+    EXPECT_NEAR(s.lost, 0, 1e-6);
+    double placed = 0;
+    for (std::size_t b = 0; b < 3; ++b) {
+      EXPECT_LE(s.flow[0][b] + s.flow[1][b], (s.fullest + 1e-3) * p.even[b] + 1e-6) << round;
+      placed += s.flow[0][b] + s.flow[1][b];
+    }
+    EXPECT_NEAR(placed, n0 + n1, 1e-6);
+    if (p.tier[1][2] < 0) {
+      EXPECT_LT(s.flow[1][2], 1e-9);
+    }
+  }
+}
+
 TEST(Flows, PlaceOrderIsLostLast) {
   Problem p;
   p.tier = {{0}};
