--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -732,8 +732,16 @@
       const auto other = once();
       return fits(other) && p.out[other] < p.out[w] ? other : w;
     }
-    for (const auto& pick : picks)
-      if (fits(pick.worker)) return pick.worker;
+    // Few are left: by weight among them, as the stand-ins do; the first of them would be sent all of it.
+    double before = 0, fitting = 0;
+    for (const auto& pick : picks) fitting += fits(pick.worker) ? pick.upto - before : 0, before = pick.upto;
+    if (fitting <= 0) return once();
+    double x = uniform() * fitting;
+    before = 0;
+    for (const auto& pick : picks) {
+      const double weight = pick.upto - std::exchange(before, pick.upto);
+      if (fits(pick.worker) && (x -= weight) < 0) return pick.worker;
+    }
     return once();
   }
 
