Test the retry budget's way to a forwarder and back

A part goes out as one value, what was tried again comes back as wredis, a counter that jumps back is a restart, and a proxy that does not tell counts as none.

--- a/tests/forwarders/plan_test.cpp
+++ b/tests/forwarders/plan_test.cpp
@@ -204,6 +204,30 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(runtime_api::read_stat(bad))) << bad;
 }
 
+// The part of the retry budget on its way to a forwarder, and what it tried again on its way back.
+TEST(RetryBudget, GoesOutAsOneValueAndComesBackAsRedispatches) {
+  coordinator::WantedTable wanted;
+  EXPECT_FALSE(values_of(wanted).contains("retries")) << "without a budget nothing is said";
+  wanted.retries = 0.35;
+  EXPECT_EQ(values_of(wanted).at("retries"), 350);
+  const auto changes = plan({}, wanted, true);
+  ASSERT_EQ(changes.size(), 1U);
+  Held held;
+  apply(held, changes[0]);
+  EXPECT_TRUE(plan(held, wanted, true).empty());
+  Counters counters;
+  const auto told = [&](int arrived, int again) {
+    const auto read = runtime_api::read_stat("# pxname,svname,stot,wredis,\nread,w1," + std::to_string(arrived + again) + ",0,\nread,BACKEND," +
+                                             std::to_string(arrived) + "," + std::to_string(again) + ",\n");
+    return counters.read(std::get<Reading>(read));
+  };
+  static_cast<void>(told(100, 5));
+  EXPECT_EQ(told(150, 12).since.further.at("read"), 7U);
+  EXPECT_TRUE(told(150, 3).restarted);
+  const auto without = runtime_api::read_stat("# pxname,svname,stot,\nread,BACKEND,9,\n");
+  EXPECT_EQ(std::get<Reading>(without).further.at("read"), 0U) << "a proxy that does not tell";
+}
+
 TEST(FleetLimit, SharesTheRateByWhatCameAndTheCheapestGoesFirst) {
   limits::FleetLimit limit{100, {{OperationId{0}, 1, 1}, {OperationId{1}, 3, 1}}};
   for (const std::uint16_t f : {0, 1, 2}) limit.joined(ProxyId{f});
