Send a corrected retry budget to forwarders that were sent a recalled one

After a restart with memory a forwarder was sent the part of the budget that had been dealt before, but the coordinator took it for told the usual share, and its correction back to that was never sent. What stood before each deal is now what counts as told, so a second map of it is gone. Found in reading the change again.

--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -223,7 +223,7 @@
 
 void Coordinator::absorb(const ForwarderLeft& e) {
   for (auto& event : attendance_.left(e.forwarder)) {
-    channel_.leave(e.forwarder), limit_.left(e.forwarder), retries_.left(e.forwarder), retries_told_.erase(e.forwarder);
+    channel_.leave(e.forwarder), limit_.left(e.forwarder), retries_.left(e.forwarder);
     bound_.erase(e.forwarder), holds_.erase(e.forwarder), sent_.erase(e.forwarder), care_.erase(e.forwarder);
     found_.erase(e.forwarder);
     note(Note::Weight::info, "forwarder_left", {{"forwarder", proxy_name(e.forwarder)}});
@@ -519,10 +519,11 @@
 
 // The budget of further tries, dealt anew after each round.
 void Coordinator::deal_retries() {
+  // Every delivery carries the part of its moment, so what stood before the deal is what was told, a recalled part too.
+  const auto before = retries_.parts();
   for (const auto& [proxy, part] : retries_.deal(now_)) {
-    const auto [told, fresh] = retries_told_.try_emplace(proxy, s_.retry_share);
-    if (std::abs(told->second - part) <= 0.1 * std::max(told->second, part)) continue;  // not worth a message
-    told->second = part;
+    const auto was = before.find(proxy);
+    if (part == (was == before.end() ? s_.retry_share : was->second)) continue;
     const auto held = channel_.in_force().find(proxy);
     if (held != channel_.in_force().end() && held->second)
       out_.deliveries.push_back({proxy, wanted_table(proxy, *held->second)});
--- a/src/coordinator/coordinator.hpp
+++ b/src/coordinator/coordinator.hpp
@@ -226,7 +226,6 @@
   limits::FleetLimit limit_;
   limits::FleetLimit::Parts parts_;
   limits::RetryBudget retries_;
-  std::map<ProxyId, double> retries_told_;
   std::uint64_t table_version_ = 0, view_version_ = 0, publish_version_ = 0;
   bool listed_once_ = false, dirty_ = true;
   std::shared_ptr<const std::map<BackendId, Known>> directory_;
