Test that a recalled retry budget is sent and then corrected

The failure found in reading the change gets its test: 0.6 as recalled goes out first, 0.2 once reports say so.

--- a/tests/coordinator/remember_test.cpp
+++ b/tests/coordinator/remember_test.cpp
@@ -171,5 +171,27 @@
   EXPECT_EQ(rig.weight(0, 1), 1);
 }
 
+// A part of the retry budget that was recalled and sent is corrected once reports say otherwise.
+TEST(Remember, ARecalledRetryBudgetIsCorrected) {
+  Settings s = some_settings();
+  s.retry_share = 0.2, s.forwarders = {{"f1", ZoneId{0}, {}, 10}};
+  Rig rig{6, s};
+  const ProxyId f1{kFirstForwarder};
+  rig.step({Recalled{{{{recovery::Kind::further_tries, "f1"}, {"", {{"part", 0.6}}, {}}, rig.now, 1, false}}, true}});
+  std::vector<double> sent;
+  const auto heed = [&](const Effects& e) {
+    for (const auto& d : e.deliveries)
+      if (sent.empty() || sent.back() != d.table->retries) sent.push_back(d.table->retries);
+  };
+  heed(rig.step({ForwarderJoined{f1}}));
+  for (int k = 0; k < 60; ++k) {
+    rig.now = rig.now + Span::seconds(0.1);
+    heed(rig.step({ForwarderMet{f1, {{BackendId{1}, OperationId{0}, 20, 0, Span::seconds(0.1)}}, {{OperationId{0}, 20}}, 0}}));
+  }
+  ASSERT_EQ(sent.size(), 2U) << "what was recalled, then what is so";
+  EXPECT_NEAR(sent.front(), 0.6, 1e-9);
+  EXPECT_NEAR(sent.back(), 0.2, 1e-9);
+}
+
 }  // namespace
 }  // namespace gorsemount::coordinator
