Serve the platform's proxies: gorsemount coordinator, on sockets

The settings object is read in one place, src/settings_json, moved out of the adapter. Connection may be quiet, and may be read always; Listener keeps a descriptor in reserve and takes connections in bounded turns.

--- /dev/null
+++ b/src/app/coordinator.cpp
@@ -0,0 +1,242 @@
+#include "app/coordinator.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <system_error>
+
+#include "app/coordinator_config.hpp"
+#include "app/exit_codes.hpp"
+#include "discovery/watch.hpp"
+#include "log/log.hpp"
+#include "net/loop.hpp"
+#include "streams/gate.hpp"
+#include "streams/instance.hpp"
+
+namespace gorsemount::app {
+
+namespace {
+
+const Span kSayEvery = Span::seconds(1);
+
+std::optional<std::string> environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? std::nullopt : std::optional<std::string>{value};
+}
+
+// Where Unix time 0 lies on the monotonic clock: one offset for the whole life, so that a start keeps its place.
+Instant unix_zero() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return net::monotonic_now() - Span::micros(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+// How many strangers may be here at a time: what the fleet's own connections leave of the descriptors.
+std::size_t room_for_strangers(const CoordinatorConfig& c) {
+  constexpr std::size_t own = 24;  // epoll, signals, the listener, logs, discovery's calls, and some to spare
+  const std::size_t kept = own + static_cast<std::size_t>(c.settings.proxies) + 3 * c.labels.zones.size();
+  return c.sockets > kept + 8 ? std::min<std::size_t>(c.sockets - kept, 512) : 8;
+}
+
+std::string rounded(double value, int digits = 3) {
+  char text[48];
+  std::snprintf(text, sizeof text, "%.*f", digits, value);
+  return text;
+}
+
+std::string listed(const std::map<std::string, std::uint64_t>& counts) {
+  std::string text;
+  for (const auto& [what, n] : counts) text += (text.empty() ? "" : "; ") + what + " " + std::to_string(n);
+  return text;
+}
+
+class Service {
+ public:
+  explicit Service(CoordinatorConfig config)
+      : config_{std::move(config)},
+        log_{"gorsemount", "info", ""},
+        instance_{config_.settings, config_.labels, config_.seed, unix_zero()},
+        watch_{loop_, config_.discovery, {},
+               {[this](discovery::Listing list) { take(list); }, [this](const std::string& why) { lost(why); }}},
+        gate_{loop_, config_.listen, {room_for_strangers(config_)}, desk()} {
+    loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
+    loop_.on_signal(SIGINT, [this] { stop("SIGINT"); });
+    loop_.on_signal(SIGHUP, [this] { reload(); });
+    if (config_.known) {
+      instance_.listed(*config_.known, true);
+      watch_.know(config_.known->version);
+    }
+    if (!config_.settings.ask_for_list) watch_.follow();
+    step();
+    log_.event(log::Level::info, "started",
+               {{"name", config_.name}, {"listen", config_.listen.text()}, {"discovery", config_.discovery.text()},
+                {"known", std::to_string(config_.known ? config_.known->rows.size() : 0)}, {"strangers_most", std::to_string(room_for_strangers(config_))}});
+    say_later();
+  }
+  void run() { loop_.run(); }
+
+ private:
+  streams::Gate::Desk desk() {
+    return {[this](streams::StreamId id, const streams::Joined& m) {
+              soon();
+              return instance_.join(id, m);
+            },
+            [this](const streams::Collector& m) { return instance_.zone(m.zone) ? nullptr : "no such zone"; },
+            [this](std::optional<streams::StreamId> from, const streams::Message& m) {
+              soon();
+              return instance_.report(from, m);
+            },
+            [this](streams::StreamId id) {
+              soon();
+              instance_.left(id);
+            }};
+  }
+
+  void take(const discovery::Listing& list) {
+    list_at_ = loop_.now();
+    if (const std::size_t skipped = instance_.listed(list); skipped > 0)
+      log_.event(log::Level::warning, "rows_skipped", {{"zone_unknown", std::to_string(skipped)}});
+    soon();
+  }
+
+  void lost(const std::string& why) {
+    log_.event(log::Level::warning, "watch_lost", {{"why", why}, {"version", std::to_string(watch_.version())}});
+    if (config_.settings.ask_for_list) {  // the module says when to ask again
+      instance_.list_failed();
+      soon();
+    } else {
+      loop_.after(Span::seconds(0.5), [this] { watch_.follow(); });
+    }
+  }
+
+  // What comes in one turn of the loop is one batch.
+  void soon() {
+    if (std::exchange(scheduled_, true)) return;
+    loop_.soon([this] { step(); });
+  }
+
+  void step() {
+    scheduled_ = false;
+    const Instant begun = net::monotonic_now();
+    const auto effects = instance_.step(begun);
+    const Instant decided = net::monotonic_now();
+    for (const auto& send : effects.sends) {
+      gate_.send(send.stream, send.message->bytes);
+      lines_out_ += send.message->counts;
+    }
+    if (effects.follow) watch_.follow();
+    longest_decision_ = std::max(longest_decision_, decided - begun);
+    longest_step_ = std::max(longest_step_, net::monotonic_now() - begun);
+    ++steps_;
+    loop_.cancel(wake_);
+    if (const auto when = instance_.wake()) wake_ = loop_.at(*when, [this] { step(); });
+  }
+
+  void reload() {
+    CoordinatorConfig fresh;
+    try {
+      fresh = read_coordinator_config(environment);
+    } catch (const std::exception& fault) {
+      log_.event(log::Level::error, "reload_refused", {{"why", fault.what()}});
+      return;
+    }
+    const bool others = fresh.settings_text != config_.settings_text || fresh.listen != config_.listen;
+    log_.event(log::Level::info, "reloaded",
+               {{"discovery", fresh.discovery.text()}, {"needs_a_restart", others ? "settings or address to listen at" : ""}});
+    config_.discovery = fresh.discovery;
+    watch_.move(fresh.discovery);
+  }
+
+  void stop(const char* why) {
+    say();
+    log_.event(log::Level::info, "stopping", {{"why", why}});
+    loop_.stop();
+  }
+
+  void say_later() {
+    loop_.after(kSayEvery, [this] {
+      say();
+      say_later();
+    });
+  }
+
+  // What it believes, to be set beside what passed on the sockets.
+  void say() {
+    const auto belief = instance_.believe();
+    const auto& counts = gate_.counts();
+    log::Fields fields{{"streams", std::to_string(belief.joined)},
+                       {"peers", std::to_string(gate_.peers())},
+                       {"strangers", std::to_string(gate_.strangers())},
+                       {"version", std::to_string(watch_.version())},
+                       {"watch", watch_.following() ? "stands" : "none"},
+                       {"list_age_s", list_at_ ? rounded((loop_.now() - *list_at_).seconds(), 1) : ""},
+                       {"ready", std::to_string(belief.ready)},
+                       {"draining", std::to_string(belief.draining)},
+                       {"names", std::to_string(belief.names)},
+                       {"table_lines", std::to_string(belief.lines)},
+                       {"levels", belief.levels},
+                       {"messages_out", std::to_string(counts.messages_out)},
+                       {"lines_out", std::to_string(lines_out_)},
+                       {"bytes_out", std::to_string(counts.bytes_out)},
+                       {"reports", std::to_string(counts.reports)},
+                       {"accepted", std::to_string(counts.accepted)},
+                       {"joinings", std::to_string(counts.streams)},
+                       {"unreadable", std::to_string(counts.unreadable)},
+                       {"not_reading", std::to_string(counts.not_reading)},
+                       {"spoilt", listed(counts.spoilt)},
+                       {"refused", listed(counts.refusals)},
+                       {"steps", std::to_string(steps_)},
+                       {"longest_step_ms", rounded(longest_step_.seconds() * 1000, 2)},
+                       {"longest_decision_ms", rounded(longest_decision_.seconds() * 1000, 2)}};
+    for (const auto& [zone, heard] : belief.zones)
+      fields.emplace_back("zone_" + zone, "tries " + rounded(heard.tries, 0) + " errored " + rounded(heard.errored, 0) + " latency_ms " +
+                                              rounded(heard.tries > heard.errored ? 1000 * heard.waited / (heard.tries - heard.errored) : 0, 0) +
+                                              " busy " + rounded(heard.told > 0 ? heard.busy / heard.told : 0, 2));
+    log_.event(log::Level::info, "state", fields);
+    longest_step_ = longest_decision_ = {};
+  }
+
+  CoordinatorConfig config_;
+  net::Loop loop_;
+  log::Log log_;
+  streams::Instance instance_;
+  discovery::Watch watch_;
+  streams::Gate gate_;
+  net::Loop::Timer wake_;
+  bool scheduled_ = false;
+  std::optional<Instant> list_at_;
+  std::uint64_t lines_out_ = 0, steps_ = 0;
+  Span longest_step_, longest_decision_;
+};
+
+}  // namespace
+
+int coordinator() {
+  // Before all else, so that neither can end the program before its handler stands: what comes now waits.
+  sigset_t held;
+  sigemptyset(&held);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held, signal);
+  sigprocmask(SIG_BLOCK, &held, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may go
+
+  CoordinatorConfig config;
+  try {
+    config = read_coordinator_config(environment);
+  } catch (const std::exception& fault) {
+    std::cerr << "gorsemount coordinator: " << fault.what() << '\n';
+    return kBadSettings;
+  }
+  try {
+    Service{std::move(config)}.run();
+    return kWell;
+  } catch (const std::system_error& fault) {
+    std::cerr << "gorsemount coordinator: " << fault.what() << '\n';
+    return kCannotListen;
+  } catch (const std::exception& fault) {
+    std::cerr << "gorsemount coordinator: " << fault.what() << '\n';
+    return kFailed;
+  }
+}
+
+}  // namespace gorsemount::app
--- /dev/null
+++ b/src/discovery/list.hpp
@@ -0,0 +1,32 @@
+// Discovery's list of backends: its JSON to values. Names stay names here.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace gorsemount::discovery {
+
+enum class Health { ready, draining, gone };
+
+struct Row {
+  std::string host, zone;
+  Health health = Health::ready;
+  double weight = 1;
+  std::int64_t started_ms = 0;  // Unix time; 0: long ago
+};
+
+struct Listing {
+  std::uint64_t version = 0;
+  bool whole = false;  // else only what changed
+  std::vector<Row> rows;
+};
+
+// Throw FieldError, or the JSON library's parse error.
+[[nodiscard]] Listing read_listing(const nlohmann::json& value, const std::string& where);
+[[nodiscard]] Listing read_listing(std::string_view text);
+
+}  // namespace gorsemount::discovery
--- /dev/null
+++ b/src/net/http_stream.cpp
@@ -0,0 +1,55 @@
+#include "net/http_stream.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <utility>
+
+namespace gorsemount::net {
+
+namespace http = boost::beast::http;
+
+struct HttpStream::Parser {
+  Parser() {
+    wire.eager(true);
+    wire.header_limit(8192);
+    wire.body_limit(boost::none);  // it goes on as long as the connection; who takes it bounds a part
+  }
+  http::response_parser<http::string_body> wire;
+  std::string fault;
+};
+
+HttpStream::HttpStream() : parser_{std::make_unique<Parser>()} {}
+HttpStream::~HttpStream() = default;
+
+std::size_t HttpStream::feed(std::string_view bytes) {
+  auto& wire = parser_->wire;
+  std::size_t used = 0;
+  while (used < bytes.size() && !wire.is_done() && parser_->fault.empty()) {
+    boost::system::error_code fault;
+    const std::size_t n = wire.put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), fault);
+    used += n;
+    if (fault == http::error::need_more) break;
+    if (fault) parser_->fault = fault.message();
+    if (n == 0) break;
+  }
+  return used;
+}
+
+void HttpStream::end() {
+  boost::system::error_code fault;
+  if (parser_->wire.got_some() && !parser_->wire.is_done()) parser_->wire.put_eof(fault);
+}
+
+unsigned HttpStream::status() const {
+  return parser_->wire.is_header_done() ? parser_->wire.get().result_int() : 0;
+}
+
+std::string HttpStream::take() { return std::exchange(parser_->wire.get().body(), {}); }
+
+bool HttpStream::done() const { return parser_->wire.is_done(); }
+
+const std::string& HttpStream::fault() const { return parser_->fault; }
+
+}  // namespace gorsemount::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,5 +1,6 @@
 #include "net/socket.hpp"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -72,6 +73,7 @@
 
 // The kernel's default holds some hundred datagrams; a burst of lookups at a change of tables is more.
 constexpr int kSocketBuffer = 4 << 20;
+constexpr int kAccepts = 64;  // connections taken before the loop goes round
 constexpr int kTurns = 16;  // batches before the loop goes round: about a millisecond of answers
 
 }  // namespace
@@ -195,16 +197,37 @@
   if (tell) tell(why);
 }
 
-void Connection::abort() {
-  if (!fd_) return;
+void Connection::reset_on_close() {
   const linger hard{1, 0};
   setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+}
+
+void Connection::abort() {
+  if (!fd_) return;
+  reset_on_close();
   on_close_ = {};
   let_go();
 }
 
+void Connection::limit(Limits limits) {
+  limits_ = limits;
+  if (fd_) progress();
+}
+
+void Connection::read_now() {
+  const auto keep = shared_from_this();
+  read_all();
+}
+
+void Connection::half_close() {
+  if (!fd_) return;
+  if (unsent() == 0) ::shutdown(fd_.get(), SHUT_WR);
+  half_closing_ = true;
+}
+
 void Connection::progress() {
   loop_.cancel(idle_);
+  if (limits_.idle <= Span{}) return;
   idle_ = loop_.after(limits_.idle, [weak = weak_from_this()] {
     if (const auto strong = weak.lock()) strong->close("idle");
   });
@@ -221,7 +244,7 @@
   reading_ = true;
   std::array<char, 16384> part;
   while (fd_) {
-    if (unsent() > limits_.write_most / 2) {
+    if (!limits_.always_read && unsent() > limits_.write_most / 2) {
       paused_ = true;  // a peer that does not read its answers gets no more of them
       break;
     }
@@ -255,8 +278,11 @@
 }
 
 void Connection::send(std::string_view bytes) {
-  if (!fd_ || finishing_) return;
-  if (unsent() + bytes.size() > limits_.write_most) return close("not reading");
+  if (!fd_ || finishing_ || half_closing_) return;
+  if (unsent() + bytes.size() > limits_.write_most) {
+    if (limits_.always_read) reset_on_close();
+    return close("not reading");
+  }
   const bool idle = unsent() == 0;
   out_.append(bytes);
   if (idle && !reading_) flush();  // answers to what came together leave together
@@ -278,6 +304,7 @@
   if (unsent() == 0) {
     out_.clear(), sent_ = 0;
     if (finishing_) return close("finished");
+    if (half_closing_) ::shutdown(fd_.get(), SHUT_WR);
   } else if (sent_ > 65536) {
     out_.erase(0, sent_), sent_ = 0;
   }
@@ -298,7 +325,7 @@
   fd_ = make_socket(at.address, SOCK_STREAM);
   set(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
   bind_to(fd_, at);
-  if (::listen(fd_.get(), 512) != 0) fail("listen " + at.text());
+  if (::listen(fd_.get(), 1024) != 0) fail("listen " + at.text());
   start(std::move(on_accept));
 }
 
@@ -328,21 +355,38 @@
 }
 
 void Listener::start(OnAccept on_accept) {
-  loop_.watch(fd_.get(), EPOLLIN, [fd = fd_.get(), take = std::move(on_accept)](std::uint32_t) {
-    while (true) {
-      sockaddr_storage from{};
-      socklen_t size = sizeof from;
-      Fd got{accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC)};
-      if (got) {
-        take(std::move(got), to_endpoint(from));
-      } else if (errno != EINTR && errno != ECONNABORTED) {
-        return;  // none left, or no descriptor free: the next connection wakes it again
-      }
+  on_accept_ = std::move(on_accept);
+  reserve_ = Fd{::open("/dev/null", O_RDONLY | O_CLOEXEC)};
+  loop_.watch(fd_.get(), EPOLLIN, [this](std::uint32_t) { accept_some(); });
+}
+
+void Listener::accept_some() {
+  const auto alive = alive_;
+  for (int n = 0; n < kAccepts && *alive; ++n) {
+    sockaddr_storage from{};
+    socklen_t size = sizeof from;
+    Fd got{accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC)};
+    if (got) {
+      on_accept_(std::move(got), to_endpoint(from));
+    } else if (errno == EMFILE || errno == ENFILE) {
+      reserve_.reset();
+      Fd turned_away{accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)};
+      const bool none = !turned_away;
+      turned_away.reset();
+      reserve_ = Fd{::open("/dev/null", O_RDONLY | O_CLOEXEC)};
+      if (none) return;
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return;
     }
+  }
+  if (!*alive) return;
+  loop_.soon([this, alive] {  // a flood gets its turn and no more
+    if (*alive) accept_some();
   });
 }
 
 Listener::~Listener() {
+  *alive_ = false;
   loop_.unwatch(fd_.get());
   if (!path_.empty()) ::unlink(path_.c_str());
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -49,12 +49,14 @@
 // A TCP connection. Bytes that came are offered to `on_data`, which returns how many it used. A peer
 // - that sends more than `read_most` without a whole message is closed ("too much"),
 // - that stops reading is no longer read from at half of `write_most`, and closed beyond it ("not reading"),
-// - that makes no progress for `idle` is closed ("idle"): half a message is no progress.
+// - that makes no progress for `idle` is closed ("idle"): half a message is no progress. Zero: it may be quiet.
+// With `always_read` a peer that does not read is read from all the same, and reset beyond `write_most`.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   struct Limits {
     std::size_t read_most = 64U << 10U, write_most = 256U << 10U;
     Span idle = Span::seconds(30);
+    bool always_read = false;
   };
   using OnData = std::function<std::size_t(std::string_view)>;
   using OnClose = std::function<void(const char* why)>;
@@ -67,6 +69,9 @@
 
   void send(std::string_view bytes);
   void finish();                // close once all is written
+  void half_close();            // no more is sent; what still comes is read
+  void limit(Limits limits);    // others from now on
+  void read_now();              // what has come already, without waiting for the loop's next turn
   void close(const char* why);  // at once; on_close is called
   void abort();                 // at once, with a reset; on_close is not called
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
@@ -79,6 +84,7 @@
   void offer();
   void flush();
   void progress();
+  void reset_on_close();
   void let_go();
 
   Loop& loop_;
@@ -88,10 +94,12 @@
   OnClose on_close_;
   std::string in_, out_;
   std::size_t sent_ = 0;
-  bool finishing_ = false, reading_ = false, paused_ = false;
+  bool finishing_ = false, half_closing_ = false, reading_ = false, paused_ = false;
   Loop::Timer idle_;
 };
 
+// Where no descriptor is free, whoever waits is accepted on one held in reserve and closed at once, so that the
+// queue neither stalls nor spins.
 class Listener {
  public:
   using OnAccept = std::function<void(Fd, const Endpoint& from)>;
@@ -106,9 +114,13 @@
  private:
   void start(OnAccept on_accept);
 
+  void accept_some();
+
   Loop& loop_;
-  Fd fd_;
+  Fd fd_, reserve_;
+  OnAccept on_accept_;
   std::string path_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 // Begins a connection; `done` gets it once it stands, or an empty one and the errno that says why not. Returns a
--- /dev/null
+++ b/src/settings_json/settings.cpp
@@ -0,0 +1,79 @@
+#include "settings_json/settings.hpp"
+
+#include <utility>
+
+namespace gorsemount {
+
+namespace {
+
+constexpr std::uint64_t kCountMost = 0x7fffffffU;
+
+Operation read_operation(const Fields& f) {
+  Operation op;
+  const auto effect = f.text("effect");
+  if (effect == "read_like") {
+    op.effect = Effect::idempotent;
+  } else if (effect == "idempotency_key") {
+    op.effect = Effect::fingerprinted;
+  } else if (effect == "non_idempotent") {
+    op.effect = Effect::side_effecting;
+  } else {
+    f.fail("effect", "is not known: " + effect);
+  }
+  op.latency_objective = f.span("goal-time-s");
+  op.billed_value = f.number("worth");
+  return op;
+}
+
+}  // namespace
+
+Settings read_settings(const Fields& config) {
+  Settings s;
+  const Fields family = config.object("family-info");
+  const Json& lanes = config.array("lanes");
+  for (std::size_t k = 0; k < lanes.size(); ++k)
+    s.operations.push_back(read_operation(Fields{lanes[k], "config.lanes[" + std::to_string(k) + "]"}));
+  const auto kind = family.text("level-kind");
+  if (kind == "share") {
+    s.level_kind = LevelKind::share;
+  } else if (kind == "rate") {
+    s.level_kind = LevelKind::rate;
+  } else if (kind != "off") {
+    family.fail("level-kind", "is not known: " + kind);
+  }
+  s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
+  s.ask_for_list = config.text("discovery") == "subscribe";
+  s.report_every = family.span("report-every-s");
+  s.intake = family.number("intake-per-s");
+  s.backlog = family.number("backlog");
+  s.push_rate = family.number("push-rate");
+  s.per_message = family.number("per-message");
+  s.messages_most = static_cast<int>(family.whole("messages-most", kCountMost));
+  s.messages_window = family.span("update-window-s");
+  s.proxies = family.number("proxies");
+  s.coordinators = config.number("fleet-size");
+  s.keepalive = config.object("limits").span("keepalive-s");
+  const Fields rules = config.object("rules");
+  if (s.ask_for_list) s.ask_within = rules.span("ask-within-s");
+  s.drain_grace = rules.span("drain-grace-s");
+  s.removal_binds = !rules.maybe_flag("removal-not-binding").value_or(false);
+  s.cold_from = rules.number("cold-from");
+  s.cold_for = rules.span("cold-s");
+  s.tip_multiple = rules.number("tip-multiple");
+  return s;
+}
+
+Labels read_labels(const Fields& config) {
+  Labels labels;
+  const Json& zones = config.array("zones");
+  for (const auto& zone : zones) {
+    if (!zone.is_string()) config.fail("zones", "holds what is not a text");
+    labels.zones.push_back(zone.get<std::string>());
+  }
+  const Json& lanes = config.array("lanes");
+  for (std::size_t k = 0; k < lanes.size(); ++k)
+    labels.operations.push_back(Fields{lanes[k], "settings.lanes[" + std::to_string(k) + "]"}.text("name"));
+  return labels;
+}
+
+}  // namespace gorsemount
--- a/src/simhost/host.hpp
+++ b/src/simhost/host.hpp
@@ -13,7 +13,7 @@
 
 class Host {
  public:
-  // Throws WireError (or the JSON library's parse error) on what it can't read.
+  // Throws FieldError (or the JSON library's parse error) on what it can't read.
   [[nodiscard]] std::string reply_to(const std::string& line);
 
  private:
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,7 +1,5 @@
 #include "simhost/wire.hpp"
 
-#include <cmath>
-#include <limits>
 #include <utility>
 
 namespace gorsemount::simhost {
@@ -25,134 +23,8 @@
 
 int read_count(const Fields& f, const char* key) { return static_cast<int>(f.whole(key, kCountMost)); }
 
-Operation read_operation(const Fields& f) {
-  Operation op;
-  const auto effect = f.text("effect");
-  if (effect == "read_like") {
-    op.effect = Effect::idempotent;
-  } else if (effect == "idempotency_key") {
-    op.effect = Effect::fingerprinted;
-  } else if (effect == "non_idempotent") {
-    op.effect = Effect::side_effecting;
-  } else {
-    f.fail("effect", "is not known: " + effect);
-  }
-  op.latency_objective = f.span("goal-time-s");
-  op.billed_value = f.number("worth");
-  return op;
-}
-
 }  // namespace
 
-Fields::Fields(const Json& object, std::string where) : object_{&object}, where_{std::move(where)} {
-  if (!object.is_object()) throw WireError(where_ + ": is not an object");
-}
-
-void Fields::fail(const char* key, const std::string& what) const {
-  throw WireError(where_ + ": '" + key + "' " + what);
-}
-
-const Json* Fields::find(const char* key) const {
-  const auto it = object_->find(key);
-  return it == object_->end() || it->is_null() ? nullptr : &*it;
-}
-
-const Json& Fields::need(const char* key) const {
-  const Json* value = find(key);
-  if (value == nullptr) fail(key, "is missing");
-  return *value;
-}
-
-double Fields::number(const char* key) const {
-  const Json& value = need(key);
-  if (!value.is_number()) fail(key, "is not a number");
-  return value.get<double>();
-}
-
-std::optional<double> Fields::maybe_number(const char* key) const {
-  return find(key) == nullptr ? std::nullopt : std::optional{number(key)};
-}
-
-std::uint64_t Fields::whole(const char* key, std::uint64_t most) const {
-  const Json& value = need(key);
-  std::uint64_t result = 0;
-  if (value.is_number_unsigned()) {
-    result = value.get<std::uint64_t>();
-  } else if (value.is_number_float()) {  // 3.0 is a whole number too
-    const auto real = value.get<double>();
-    if (!(real >= 0 && real < 0x1p53 && real == std::floor(real))) fail(key, "is not a whole number from 0");
-    result = static_cast<std::uint64_t>(real);
-  } else {
-    fail(key, "is not a whole number from 0");
-  }
-  if (result > most) fail(key, "is above " + std::to_string(most));
-  return result;
-}
-
-bool Fields::flag(const char* key) const {
-  const Json& value = need(key);
-  if (!value.is_boolean()) fail(key, "is neither true nor false");
-  return value.get<bool>();
-}
-
-std::optional<bool> Fields::maybe_flag(const char* key) const {
-  return find(key) == nullptr ? std::nullopt : std::optional{flag(key)};
-}
-
-std::string Fields::text(const char* key) const {
-  const Json& value = need(key);
-  if (!value.is_string()) fail(key, "is not a text");
-  return value.get<std::string>();
-}
-
-const Json& Fields::array(const char* key) const {
-  const Json& value = need(key);
-  if (!value.is_array()) fail(key, "is not an array");
-  return value;
-}
-
-Fields Fields::object(const char* key) const { return Fields{need(key), where_ + "." + key}; }
-
-std::optional<Fields> Fields::maybe_object(const char* key) const {
-  return find(key) == nullptr ? std::nullopt : std::optional{object(key)};
-}
-
-Settings read_settings(const Fields& config) {
-  Settings s;
-  const Fields family = config.object("family-info");
-  const Json& lanes = config.array("lanes");
-  for (std::size_t k = 0; k < lanes.size(); ++k)
-    s.operations.push_back(read_operation(Fields{lanes[k], "config.lanes[" + std::to_string(k) + "]"}));
-  const auto kind = family.text("level-kind");
-  if (kind == "share") {
-    s.level_kind = LevelKind::share;
-  } else if (kind == "rate") {
-    s.level_kind = LevelKind::rate;
-  } else if (kind != "off") {
-    family.fail("level-kind", "is not known: " + kind);
-  }
-  s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
-  s.ask_for_list = config.text("discovery") == "subscribe";
-  s.report_every = family.span("report-every-s");
-  s.intake = family.number("intake-per-s");
-  s.backlog = family.number("backlog");
-  s.push_rate = family.number("push-rate");
-  s.per_message = family.number("per-message");
-  s.messages_most = static_cast<int>(family.whole("messages-most", kCountMost));
-  s.messages_window = family.span("update-window-s");
-  s.proxies = family.number("proxies");
-  s.coordinators = config.number("fleet-size");
-  s.keepalive = config.object("limits").span("keepalive-s");
-  const Fields rules = config.object("rules");
-  if (s.ask_for_list) s.ask_within = rules.span("ask-within-s");
-  s.drain_grace = rules.span("drain-grace-s");
-  s.removal_binds = !rules.maybe_flag("removal-not-binding").value_or(false);
-  s.cold_from = rules.number("cold-from");
-  s.cold_for = rules.span("cold-s");
-  s.tip_multiple = rules.number("tip-multiple");
-  return s;
-}
-
 std::vector<Listed::Entry> read_entries(const Fields& snapshot) {
   std::vector<Listed::Entry> entries;
   const Json& rows = snapshot.array("members-list");
--- /dev/null
+++ b/src/streams/instance.cpp
@@ -0,0 +1,186 @@
+#include "streams/instance.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gorsemount::streams {
+
+namespace {
+
+// A backend that is in no list and no table is remembered this long, for reports that were on their way.
+const Span kForget = Span::seconds(30);
+
+}  // namespace
+
+Instance::Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero)
+    : policy_{settings, seed},
+      labels_{std::move(labels)},
+      proxies_{settings.proxies},
+      unix_zero_{unix_zero},
+      tables_{labels_.operations, [this](BackendId id) -> std::string_view { return backends_.at(id).name; }} {}
+
+BackendId Instance::id_of(const std::string& name) {
+  const auto [it, fresh] = ids_.try_emplace(name);
+  if (fresh) {
+    it->second = BackendId{++last_id_};
+    backends_[it->second].name = name;
+  }
+  return it->second;
+}
+
+std::optional<ZoneId> Instance::zone(const std::string& name) const {
+  const auto it = std::find(labels_.zones.begin(), labels_.zones.end(), name);
+  if (it == labels_.zones.end()) return {};
+  return ZoneId{static_cast<std::uint16_t>(it - labels_.zones.begin())};
+}
+
+void Instance::unlist(BackendId id) {
+  Backend& b = backends_.at(id);
+  if (!b.unlisted) b.unlisted = now_;
+  b.availability = Availability::gone;
+}
+
+std::size_t Instance::listed(const discovery::Listing& listing, bool remembered) {
+  Listed event;
+  event.scope = remembered ? ListScope::remembered : listing.whole ? ListScope::whole : ListScope::changes;
+  std::size_t skipped = 0;
+  std::set<BackendId> missing;
+  if (event.scope != ListScope::changes)
+    for (const auto& [id, b] : backends_) missing.insert(id);
+  for (const auto& row : listing.rows) {
+    if (row.health == discovery::Health::gone) {
+      const auto known = ids_.find(row.host);
+      if (known == ids_.end()) continue;
+      missing.erase(known->second);
+      unlist(known->second);
+      event.entries.push_back({known->second, {}, Availability::gone, 1, {}});
+      continue;
+    }
+    const auto where = zone(row.zone);
+    if (!where) {
+      ++skipped;
+      continue;
+    }
+    const BackendId id = id_of(row.host);
+    missing.erase(id);
+    Backend& b = backends_.at(id);
+    b.zone = *where, b.unlisted.reset();
+    b.availability = row.health == discovery::Health::ready ? Availability::ready : Availability::draining;
+    Listed::Entry entry{id, *where, b.availability, row.weight, {}};
+    if (row.started_ms != 0) entry.started = unix_zero_ + Span::micros(row.started_ms * 1000);
+    event.entries.push_back(entry);
+  }
+  for (const auto id : missing) unlist(id);
+  pending_.emplace_back(std::move(event));
+  return skipped;
+}
+
+Instance::Joining Instance::join(StreamId stream, const Joined& m) {
+  const auto where = zone(m.zone);
+  if (!where) return {"no such zone", {}};
+  if (m.proxy >= proxies_) return {"no such proxy", {}};
+  if (streams_.contains(stream)) return {"joined already", {}};
+  Joining result;
+  const ProxyId proxy{m.proxy};
+  if (const auto before = proxies_on_.find(proxy); before != proxies_on_.end()) {
+    result.succeeds = before->second;
+    left(before->second);
+  }
+  streams_[stream] = proxy, proxies_on_[proxy] = stream;
+  pending_.emplace_back(ProxyJoined{proxy, *where, m.usual_rate});
+  return result;
+}
+
+void Instance::left(StreamId stream) {
+  const auto it = streams_.find(stream);
+  if (it == streams_.end()) return;  // one that another has succeeded
+  const ProxyId proxy = it->second;
+  streams_.erase(it);
+  proxies_on_.erase(proxy);
+  tables_.left(proxy);
+  pending_.emplace_back(ProxyLeft{proxy});
+}
+
+const char* Instance::report(std::optional<StreamId> from, const Message& message) {
+  const auto stands_for = [&](std::uint16_t proxy) -> const char* {
+    if (from) return streams_.at(*from).value == proxy ? nullptr : "another proxy's";
+    return proxies_on_.contains(ProxyId{proxy}) ? nullptr : "of a proxy that has not joined";
+  };
+  if (const auto* heard = std::get_if<Heard>(&message)) {
+    const auto where = zone(heard->zone);
+    if (!where) return "no such zone";
+    if (from) return "not a stream's to tell";
+    const auto id = ids_.find(heard->host);
+    if (id == ids_.end()) return "no such backend";
+    pending_.emplace_back(BackendReport{*where, id->second, heard->tries, heard->errored, heard->mean_latency, heard->over, heard->busy});
+    auto& zone = heard_[backends_.at(id->second).zone];
+    zone.tries += heard->tries, zone.errored += heard->errored;
+    zone.waited += (heard->tries - heard->errored) * heard->mean_latency.seconds();
+    if (heard->busy) zone.busy += *heard->busy, ++zone.told;
+    return nullptr;
+  }
+  if (const auto* usage = std::get_if<Usage>(&message)) {
+    const auto& names = labels_.operations;
+    const auto it = std::find(names.begin(), names.end(), usage->operation);
+    if (it == names.end()) return "no such operation";
+    if (const char* why = stands_for(usage->proxy)) return why;
+    pending_.emplace_back(DemandReport{ProxyId{usage->proxy}, OperationId{static_cast<std::uint8_t>(it - names.begin())},
+                                       usage->arrived, usage->over});
+    return nullptr;
+  }
+  if (const auto* applied = std::get_if<Applied>(&message)) return stands_for(applied->proxy);  // the module sends no marks
+  return "not known here";
+}
+
+Instance::Effects Instance::step(Instant now) {
+  now_ = now;
+  for (auto it = timers_.begin(); it != timers_.end() && it->first <= now; it = timers_.erase(it))
+    pending_.emplace_back(TimerFired{it->second});
+  Effects effects;
+  if (pending_.empty()) return effects;
+  const auto events = std::exchange(pending_, {});
+  const auto orders = policy_.handle(now, events);
+  for (const auto& order : orders) {
+    if (std::holds_alternative<FollowList>(order)) effects.follow = true;
+    if (const auto* wake = std::get_if<WakeMe>(&order)) timers_.emplace(now + wake->after, wake->tag);
+  }
+  for (auto& sent : tables_.carry_out(orders))
+    if (const auto on = proxies_on_.find(sent.proxy); on != proxies_on_.end())
+      effects.sends.push_back({on->second, std::move(sent.message)});
+  forget();
+  return effects;
+}
+
+std::optional<Instant> Instance::wake() const {
+  if (timers_.empty()) return {};
+  return timers_.begin()->first;
+}
+
+void Instance::forget() {
+  for (auto it = backends_.begin(); it != backends_.end();) {
+    const bool old = it->second.unlisted && now_ - *it->second.unlisted > kForget && !tables_.holds(it->first);
+    if (old) ids_.erase(it->second.name);
+    it = old ? backends_.erase(it) : std::next(it);
+  }
+}
+
+Instance::Belief Instance::believe() {
+  Belief b;
+  for (const auto& [zone, heard] : std::exchange(heard_, {})) b.zones[labels_.zones.at(zone.value)] = heard;
+  b.joined = streams_.size(), b.names = backends_.size();
+  for (const auto& [id, backend] : backends_) {
+    b.ready += backend.availability == Availability::ready ? 1 : 0;
+    b.draining += backend.availability == Availability::draining ? 1 : 0;
+  }
+  for (const auto& [number, table] : tables_.all()) {
+    b.lines += table.lines.size();
+    if (!b.levels.empty()) continue;
+    for (const auto& [operation, level] : table.levels)
+      b.levels += (b.levels.empty() ? "" : " ") + labels_.operations.at(operation.value) + ":" + std::to_string(level.level) +
+                  "/" + std::to_string(static_cast<int>(level.tries));
+  }
+  return b;
+}
+
+}  // namespace gorsemount::streams
--- /dev/null
+++ b/src/streams/instance.hpp
@@ -0,0 +1,88 @@
+// One coordinator without its sockets and clock: what comes in by streams and discovery becomes the module's events,
+// its orders become messages to streams. Stepped by the caller; what came in since the last step is one batch.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "discovery/list.hpp"
+#include "policy/policy.hpp"
+#include "settings_json/settings.hpp"
+#include "streams/message.hpp"
+#include "streams/tables.hpp"
+
+namespace gorsemount::streams {
+
+using StreamId = std::uint64_t;
+
+class Instance {
+ public:
+  struct Send {
+    StreamId stream = 0;
+    std::shared_ptr<const Written> message;
+  };
+  struct Effects {
+    std::vector<Send> sends;
+    bool follow = false;  // discovery is to be asked for changes
+  };
+  struct Joining {
+    const char* refused = nullptr;       // why; null: it has joined
+    std::optional<StreamId> succeeds;    // the proxy's stream before this one, which is of no more use
+  };
+
+  // `unix_zero`: where Unix time 0 lies on the clock that step() is handed.
+  Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero);
+
+  // Returns how many rows could not be used, since their zone does not exist.
+  std::size_t listed(const discovery::Listing& listing, bool remembered = false);
+  void list_failed() { pending_.emplace_back(Listed{ListScope::failed, {}}); }
+  [[nodiscard]] Joining join(StreamId stream, const Joined& message);
+  void left(StreamId stream);
+  [[nodiscard]] std::optional<ZoneId> zone(const std::string& name) const;
+  // What a stream (or, without one, a collector) reports. Returns why it is skipped; null: it was taken.
+  [[nodiscard]] const char* report(std::optional<StreamId> from, const Message& message);
+
+  [[nodiscard]] Effects step(Instant now);
+  [[nodiscard]] std::optional<Instant> wake() const;
+  [[nodiscard]] bool pending() const { return !pending_.empty(); }
+
+  // What was heard since the last call, by the backends' zone, and what is in force.
+  struct Belief {
+    struct Zone {
+      double tries = 0, errored = 0, waited = 0, busy = 0, told = 0;
+    };
+    std::map<std::string, Zone> zones;
+    std::size_t joined = 0, ready = 0, draining = 0, names = 0, lines = 0;
+    std::string levels;
+  };
+  [[nodiscard]] Belief believe();
+
+ private:
+  struct Backend {
+    std::string name;
+    ZoneId zone;
+    Availability availability = Availability::ready;
+    std::optional<Instant> unlisted;  // since when
+  };
+  [[nodiscard]] BackendId id_of(const std::string& name);
+  void unlist(BackendId id);
+  void forget();
+
+  Policy policy_;
+  Labels labels_;
+  double proxies_;
+  Instant unix_zero_, now_;
+  Tables tables_;
+  std::map<std::string, BackendId, std::less<>> ids_;
+  std::map<BackendId, Backend> backends_;
+  std::uint32_t last_id_ = 0;
+  std::map<StreamId, ProxyId> streams_;
+  std::map<ProxyId, StreamId> proxies_on_;
+  std::multimap<Instant, TimerTag> timers_;
+  std::vector<Event> pending_;
+  std::map<ZoneId, Belief::Zone> heard_;
+};
+
+}  // namespace gorsemount::streams
