--- /dev/null
+++ b/tests/streams/gate_test.cpp
@@ -0,0 +1,227 @@
+// The gate on real sockets: who joins, who is refused, and what a joined stream may and may not send.
+#include "streams/gate.hpp"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <list>
+
+namespace gorsemount::streams {
+namespace {
+
+const Endpoint kAt = *Endpoint::parse("127.7.7.9:17019");
+
+class Client {
+ public:
+  Client() {
+    fd_ = net::Fd{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    sockaddr_in to{};
+    to.sin_family = AF_INET, to.sin_port = htons(kAt.port);
+    inet_pton(AF_INET, "127.7.7.9", &to.sin_addr);
+    EXPECT_EQ(::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
+  }
+  explicit Client(const std::string& text) : Client{} { send(text); }
+  void send(const std::string& text) { (void)!::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT); }
+  // All that came so far.
+  std::string read() {
+    char part[4096];
+    ssize_t n = 0;
+    while ((n = ::recv(fd_.get(), part, sizeof part, MSG_DONTWAIT)) > 0) got_.append(part, static_cast<std::size_t>(n));
+    if (n == 0 || (n < 0 && errno != EAGAIN)) closed_ = true;
+    return got_;
+  }
+  bool closed() { return read(), closed_; }
+  void hang_up() { fd_.reset(); }
+
+ private:
+  net::Fd fd_;
+  std::string got_;
+  bool closed_ = false;
+};
+
+struct Rig {
+  explicit Rig(Gate::Limits limits = {}) {
+    gate = std::make_unique<Gate>(loop, kAt, limits, Gate::Desk{
+        [this](StreamId id, const Joined& m) -> Instance::Joining {
+          if (m.proxy > 100) return {"no such proxy", {}};
+          Instance::Joining result;
+          if (const auto it = on.find(m.proxy); it != on.end()) result.succeeds = it->second;
+          on[m.proxy] = id;
+          return result;
+        },
+        [](const Collector& m) { return m.zone == "a" ? nullptr : "no such zone"; },
+        [this](std::optional<StreamId> from, const Message& m) -> const char* {
+          if (const auto* usage = std::get_if<Usage>(&m)) arrived += usage->arrived;
+          if (std::holds_alternative<Heard>(m)) ++heard;
+          return from || heard > 0 ? nullptr : "odd";
+        },
+        [this](StreamId id) { left.push_back(id); }});
+  }
+  void run(double s = 0.05) {
+    loop.after(Span::seconds(s), [this] { loop.stop(); });
+    loop.run();
+  }
+  net::Loop loop;
+  std::map<std::uint16_t, StreamId> on;
+  std::vector<StreamId> left;
+  int arrived = 0, heard = 0;
+  std::unique_ptr<Gate> gate;
+};
+
+std::string joined(int proxy) { return "joined sidecar=" + std::to_string(proxy) + " az=a share=1 standing=1\r\n"; }
+
+TEST(Gate, AStreamJoinsReportsAndGetsItsOrders) {
+  Rig r;
+  Client c{"ping\r\n" + joined(7) + "usage sidecar=7 kind=x n=19 bad=0 window=1000.0\r\n"};
+  r.run();
+  ASSERT_TRUE(r.on.contains(7));
+  EXPECT_EQ(r.arrived, 19);
+  r.gate->send(r.on[7], "update full=1\r\n");
+  r.run();
+  EXPECT_EQ(c.read(), "pong\r\nupdate full=1\r\n");
+  c.hang_up();
+  r.run();
+  EXPECT_EQ(r.left, std::vector<StreamId>{r.on[7]});
+}
+
+TEST(Gate, BytesInPiecesAreTheSameMessage) {
+  Rig r;
+  Client c;
+  for (const char byte : joined(9) + "usage sidecar=9 kind=x n=3 bad=0 window=1.0\r\n") {
+    c.send(std::string(1, byte));
+    r.run(0.002);
+  }
+  EXPECT_TRUE(r.on.contains(9));
+  EXPECT_EQ(r.arrived, 3);
+}
+
+TEST(Gate, AQuietStreamAndAQuietCollectorStayBeyondTheStrangersDeadline) {
+  Gate::Limits limits;
+  limits.joins_within = Span::seconds(0.1);
+  Rig r{limits};
+  Client stream{joined(1)}, collector{"collector az=a\r\n"}, silent, half{"joined sid"}, pinger{"ping\r\n"};
+  r.run(0.3);
+  EXPECT_FALSE(stream.closed());
+  EXPECT_FALSE(collector.closed());
+  EXPECT_NE(silent.read().find("refused"), std::string::npos);
+  EXPECT_NE(half.read().find("refused"), std::string::npos);
+  EXPECT_EQ(pinger.read().find("pong\r\nrefused"), 0U);  // a sign of life, and no more time for it
+  r.run(0.5);
+  EXPECT_TRUE(silent.closed() && half.closed() && pinger.closed());
+  EXPECT_EQ(r.gate->peers(), 2U);
+  EXPECT_TRUE(r.left.empty());
+}
+
+TEST(Gate, WhatIsNoJoiningIsRefusedAtOnce) {
+  Rig r;
+  const std::string bad[] = {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "update full=1 endpoints=s-1:1\r\n", "refused\r\n", joined(500),
+                             "collector az=nowhere\r\n", "heard az=a host=s n=1 bad=0 avg=1 window=9\r\n", "joined sidecar=x az=a share=1 standing=1\r\n",
+                             std::string("\x00\x01\xff\xfe", 4), "joined " + std::string(9000, 'x'), std::string(300000, 'y')};
+  std::list<Client> clients;
+  for (const auto& text : bad) clients.emplace_back(text);
+  r.run(0.1);
+  for (auto& c : clients) EXPECT_TRUE(c.read().find("refused reason=") == 0 || c.closed());
+  r.run(0.5);
+  for (auto& c : clients) EXPECT_TRUE(c.closed());
+  EXPECT_EQ(r.gate->peers(), 0U);
+  EXPECT_TRUE(r.on.empty());
+}
+
+TEST(Gate, SpoiltReportsAreCountedAndTheirStreamLives) {
+  Rig r;
+  Client c{joined(1) + "usage sidecar=1 kind=x n=-4 bad=0 window=1\r\nusage sidecar=1\r\nusage sidecar=1 kind=x n=4 bad=0 window=1\r\npong\r\n" + joined(1)};
+  r.run();
+  EXPECT_FALSE(c.closed());
+  EXPECT_EQ(r.arrived, 4);
+  EXPECT_TRUE(r.left.empty());
+  EXPECT_EQ(r.gate->counts().spoilt.at("usage: n"), 1U);
+}
+
+TEST(Gate, AStreamThatContinuesWithWhatCanNotBeReadHasLeftAtOnce) {
+  Rig r;
+  Client whole_line{joined(1) + "nonsense that ends\r\n"}, no_end{joined(2) + "\x16\x03\x01"};
+  r.run();
+  EXPECT_EQ(r.left.size(), 2U);
+  EXPECT_TRUE(whole_line.closed() && no_end.closed());
+}
+
+TEST(Gate, AUnreadableCollectorGoesAndNoProxyLeaves) {
+  Rig r;
+  Client c{"collector az=a\r\nheard az=a host=s n=1 bad=0 avg=1 window=9\r\n%%%\r\n"};
+  r.run();
+  EXPECT_EQ(r.heard, 1);
+  EXPECT_TRUE(c.closed());
+  EXPECT_TRUE(r.left.empty());
+}
+
+TEST(Gate, ASuccessorEndsTheStreamBeforeItAndNobodyIsTold) {
+  Rig r;
+  Client old{joined(5)};
+  r.run();
+  Client fresh{joined(5)};
+  r.run();
+  EXPECT_TRUE(old.closed());
+  EXPECT_FALSE(fresh.closed());
+  EXPECT_TRUE(r.left.empty());  // the desk said so itself
+}
+
+TEST(Gate, AFloodOfStrangersCostsNoProxyItsPlace) {
+  Gate::Limits limits;
+  limits.strangers = 20;
+  Rig r{limits};
+  std::list<Client> flood;
+  std::list<Client> proxies;
+  for (int k = 0; k < 300; ++k) {
+    if (k % 10 == 0) proxies.emplace_back(joined(k / 10));
+    k % 2 == 0 ? flood.emplace_back() : flood.emplace_back("joined side");
+  }
+  r.run(0.2);
+  EXPECT_EQ(r.on.size(), 30U);
+  EXPECT_LE(r.gate->strangers(), 20U);
+  r.run(1.8);
+  for (auto& c : flood) EXPECT_TRUE(c.closed());
+  for (auto& c : proxies) EXPECT_FALSE(c.closed());
+  EXPECT_EQ(r.gate->peers(), 30U);
+}
+
+TEST(Gate, AProxyThatDoesNotReadIsStillReadAndResetAtTheLimit) {
+  Gate::Limits limits;
+  limits.unread = 64U << 10U;
+  Rig r{limits};
+  Client c{joined(1)};
+  r.run();
+  const std::string much(60000, 'u');
+  for (int k = 0; k < 400 && r.left.empty(); ++k) {
+    r.gate->send(r.on[1], much);
+    if (k == 100) c.send("usage sidecar=1 kind=x n=6 bad=0 window=1\r\n");
+    r.run(0.002);
+  }
+  EXPECT_EQ(r.left.size(), 1U);
+  EXPECT_EQ(r.gate->counts().not_reading, 1U);
+}
+
+TEST(Gate, WithoutDescriptorsNobodyWaitsInTheQueueForEver) {
+  Rig r;
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  std::list<Client> clients;
+  for (int k = 0; k < 12; ++k) clients.emplace_back();  // connected by the kernel, not yet accepted
+  const net::Fd highest{::dup(0)};
+  const rlimit few{static_cast<rlim_t>(highest.get()), before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &few);
+  r.run(0.1);
+  setrlimit(RLIMIT_NOFILE, &before);
+  r.run(0.1);
+  int closed = 0;
+  for (auto& c : clients) closed += c.closed() ? 1 : 0;
+  EXPECT_GE(closed, 11);
+  Client later{joined(1)};
+  r.run();
+  EXPECT_TRUE(r.on.contains(1));
+}
+
+}  // namespace
+}  // namespace gorsemount::streams
