--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -176,6 +176,8 @@
                        {"names", std::to_string(belief.names)},
                        {"table_lines", std::to_string(belief.lines)},
                        {"levels", belief.levels},
+                       {"held_back", belief.held_back},
+                       {"failing", belief.failing},
                        {"messages_out", std::to_string(counts.messages_out)},
                        {"lines_out", std::to_string(lines_out_)},
                        {"bytes_out", std::to_string(counts.bytes_out)},
--- a/src/streams/instance.cpp
+++ b/src/streams/instance.cpp
@@ -1,6 +1,7 @@
 #include "streams/instance.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -118,6 +119,8 @@
     zone.tries += heard->tries, zone.errored += heard->errored;
     zone.waited += (heard->tries - heard->errored) * heard->mean_latency.seconds();
     if (heard->busy) zone.busy += *heard->busy, ++zone.told;
+    if (heard->errored > 0 || errored_.contains(id->second))
+      errored_[id->second].first += heard->errored, errored_[id->second].second += heard->tries;
     return nullptr;
   }
   if (const auto* usage = std::get_if<Usage>(&message)) {
@@ -173,6 +176,19 @@
     b.ready += backend.availability == Availability::ready ? 1 : 0;
     b.draining += backend.availability == Availability::draining ? 1 : 0;
   }
+  const auto append = [](std::string& text, const std::string& what) { text += (text.empty() ? "" : " ") + what; };
+  const auto share = [](const Memory::Rung& r) {
+    return ":" + std::to_string(static_cast<int>(std::lround(100 * r.share))) + (r.relapses > 0 ? "r" + std::to_string(r.relapses) : "");
+  };
+  const auto name = [this](ZoneId zone) { return labels_.zones.at(zone.value); };
+  const Memory memory = policy_.remember(now_);
+  for (const auto& [zone, rung] : memory.zones) append(b.held_back, name(zone) + share(rung));
+  for (const auto& [link, rung] : memory.links) append(b.held_back, name(link.first) + ">" + name(link.second) + share(rung));
+  for (const auto& [id, rung] : memory.backends)
+    if (const auto it = backends_.find(id); it != backends_.end()) append(b.held_back, it->second.name + share(rung));
+  for (const auto& [id, counts] : std::exchange(errored_, {}))
+    if (const auto it = backends_.find(id); it != backends_.end())
+      append(b.failing, it->second.name + ":" + std::to_string(counts.first) + "/" + std::to_string(counts.second));
   for (const auto& [number, table] : tables_.all()) {
     b.lines += table.lines.size();
     if (!b.levels.empty()) continue;
--- a/src/streams/instance.hpp
+++ b/src/streams/instance.hpp
@@ -56,6 +56,8 @@
     std::map<std::string, Zone> zones;
     std::size_t joined = 0, ready = 0, draining = 0, names = 0, lines = 0;
     std::string levels;
+    std::string held_back;  // zones, backends and links whose ladder is not whole, with their share
+    std::string failing;    // backends that errored: how many of how many tries
   };
   [[nodiscard]] Belief believe();
 
@@ -83,6 +85,7 @@
   std::multimap<Instant, TimerTag> timers_;
   std::vector<Event> pending_;
   std::map<ZoneId, Belief::Zone> heard_;
+  std::map<BackendId, std::pair<int, int>> errored_;  // of tries
 };
 
 }  // namespace gorsemount::streams
