Deal newcomers to the cut whose zone has least, so that no cut runs dry

Checked by logging every table with its users: table 0 shrank from 15 lines to 2 while 28 proxies kept to it, and table 1 grew to 28. Excluded: CPU (1 % of a core), the channel (most backlog 0.125), lost messages, a stale list.

At fault: note(Listed) dealt a newcomer by roster.size() % cuts. A fleet that is replaced backend by backend keeps its size, so all newcomers went to one cut. They now go where their zone has least listed weight, then where all have.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -230,9 +230,10 @@
         continue;
       }
       lost.erase(entry.backend);
-      auto [it, unknown] = roster.try_emplace(entry.backend);
-      Backend& b = it->second;
-      if (unknown) b.cut = roster.size() % std::max<std::size_t>(cuts, 1);
+      const bool unknown = !roster.contains(entry.backend);
+      const std::size_t cut = unknown ? neediest_cut(entry.zone) : 0;
+      Backend& b = roster[entry.backend];
+      if (unknown) b.cut = cut;
       if (auto rung = recalled.extract(entry.backend); unknown && rung) b.ladder = rung.mapped();
       // What was heard of the process before says nothing of this one.
       if (!unknown && entry.started && b.listed.started != entry.started) b.ladder = {}, b.samples.clear();
@@ -249,6 +250,19 @@
     }
   }
 
+  // Where the zone has least weight, then where all have: a fleet that is replaced backend by backend keeps its
+  // size, and dealt by that its newcomers would all gather in one cut while the others run dry.
+  std::size_t neediest_cut(ZoneId zone) const {
+    if (cuts < 2) return 0;
+    std::vector<std::pair<double, double>> weights(cuts);
+    for (const auto& [id, b] : roster) {
+      if (!ready(b)) continue;
+      if (b.listed.zone == zone) weights[b.cut].first += b.listed.weight;
+      weights[b.cut].second += b.listed.weight;
+    }
+    return static_cast<std::size_t>(std::min_element(weights.begin(), weights.end()) - weights.begin());
+  }
+
   void note(const ProxyJoined& e) {
     joined[e.proxy] = Proxy{e.zone, e.usual_rate, {}, {}};
     if (!first_joined) first_joined = now;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -185,6 +185,50 @@
   EXPECT_EQ(b.bound[ProxyId{0}], TableId{});
 }
 
+// A fleet that is replaced backend by backend: each cut keeps its part of every zone, and none runs dry.
+TEST(Cuts, ReplacementOneByOneLeavesThemEven) {
+  Settings s = settings();
+  s.proxies = 20, s.coordinators = 1;
+  Policy policy{s, 7};
+  Instant now = Instant::at_seconds(1000);
+  std::map<BackendId, ZoneId> fleet;
+  std::map<TableId, std::map<BackendId, double>> tables;
+  const auto tell = [&](std::vector<Event> events) {
+    for (const auto& order : policy.handle(now, events))
+      if (const auto* line = std::get_if<SetLine>(&order)) {
+        if (line->weight > 0) tables[line->table][line->backend] = line->weight;
+        else tables[line->table].erase(line->backend);
+      }
+  };
+  std::vector<Event> start;
+  Listed all{ListScope::remembered, {}};
+  for (unsigned k = 0; k < 30; ++k) {
+    all.entries.push_back(Bench::entry(k));
+    fleet[BackendId{100 + k}] = ZoneId{static_cast<std::uint16_t>(k % 3)};
+  }
+  start.emplace_back(all);
+  for (std::uint16_t p = 0; p < 20; ++p) start.emplace_back(ProxyJoined{ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 1.0});
+  tell(start);
+  ASSERT_EQ(tables.size(), 2U);
+  for (unsigned k = 0; k < 60; ++k) {  // the oldest goes, a new one of its zone comes
+    const auto old = *fleet.begin();
+    const BackendId fresh{1000 + k};
+    Listed drain{ListScope::changes, {{old.first, old.second, Availability::draining, 1, {}}}};
+    tell({drain});
+    now = now + Span::seconds(1);
+    Listed change{ListScope::changes, {{old.first, old.second, Availability::gone, 1, {}}, {fresh, old.second, Availability::ready, 1, {}}}};
+    fleet.erase(old.first), fleet[fresh] = old.second;
+    tell({change});
+    for (int tick = 0; tick < 4; ++tick) now = now + Span::seconds(0.25), tell({TimerFired{}});
+  }
+  for (const auto& [table, lines] : tables) {
+    std::map<ZoneId, int> by_zone;
+    for (const auto& [backend, weight] : lines) ++by_zone[fleet.at(backend)];
+    EXPECT_EQ(lines.size(), 15U);
+    for (const auto& [zone, n] : by_zone) EXPECT_EQ(n, 5);
+  }
+}
+
 TEST(Levels, OverloadTakesFromTheLeastBilledFirstAndGivesBack) {
   Bench b{settings()};
   b.rounds(2, [](unsigned, BackendReport& r) { r.busy = 1.0, r.mean_latency = Span::seconds(0.6); });
