Hand on the report lines of one round together, as the simulator does

Checked by printing what each handle() was given: a round of 100 report lines and 170 of usage came in 25 batches over 2 ms, a loop's turn each; on the simulator's wire the whole round is one batch (seen in a tap). The module takes a batch for a round: hear() works out the span of its lines and judges by a few of them. Excluded: lost lines (all counted in), CPU.

Instance now keeps report lines until none has come for 5 ms, 40 ms at most; joinings, leavings and the list never wait.

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -85,7 +85,7 @@
             [this](const streams::Collector& m) { return instance_.zone(m.zone) ? nullptr : "no such zone"; },
             [this](std::optional<streams::StreamId> from, const streams::Message& m) {
               soon();
-              return instance_.report(from, m);
+              return instance_.report(net::monotonic_now(), from, m);
             },
             [this](streams::StreamId id) {
               soon();
--- a/src/streams/instance.cpp
+++ b/src/streams/instance.cpp
@@ -14,11 +14,12 @@
 
 }  // namespace
 
-Instance::Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero)
+Instance::Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero, Gather gather)
     : policy_{settings, seed},
       labels_{std::move(labels)},
       proxies_{settings.proxies},
       unix_zero_{unix_zero},
+      gather_{gather},
       tables_{labels_.operations, [this](BackendId id) -> std::string_view { return backends_.at(id).name; }} {}
 
 BackendId Instance::id_of(const std::string& name) {
@@ -103,7 +104,18 @@
   pending_.emplace_back(ProxyLeft{proxy});
 }
 
-const char* Instance::report(std::optional<StreamId> from, const Message& message) {
+void Instance::gather(Instant now, Event report) {
+  if (reports_.empty()) first_report_ = now;
+  last_report_ = now;
+  reports_.push_back(std::move(report));
+}
+
+std::optional<Instant> Instance::ripe() const {
+  if (reports_.empty()) return {};
+  return std::min(last_report_ + gather_.quiet, first_report_ + gather_.most);
+}
+
+const char* Instance::report(Instant now, std::optional<StreamId> from, const Message& message) {
   const auto stands_for = [&](std::uint16_t proxy) -> const char* {
     if (from) return streams_.at(*from).value == proxy ? nullptr : "another proxy's";
     return proxies_on_.contains(ProxyId{proxy}) ? nullptr : "of a proxy that has not joined";
@@ -114,7 +126,7 @@
     if (from) return "not a stream's to tell";
     const auto id = ids_.find(heard->host);
     if (id == ids_.end()) return "no such backend";
-    pending_.emplace_back(BackendReport{*where, id->second, heard->tries, heard->errored, heard->mean_latency, heard->over, heard->busy});
+    gather(now, BackendReport{*where, id->second, heard->tries, heard->errored, heard->mean_latency, heard->over, heard->busy});
     auto& zone = heard_[backends_.at(id->second).zone];
     zone.tries += heard->tries, zone.errored += heard->errored;
     zone.waited += (heard->tries - heard->errored) * heard->mean_latency.seconds();
@@ -128,8 +140,8 @@
     const auto it = std::find(names.begin(), names.end(), usage->operation);
     if (it == names.end()) return "no such operation";
     if (const char* why = stands_for(usage->proxy)) return why;
-    pending_.emplace_back(DemandReport{ProxyId{usage->proxy}, OperationId{static_cast<std::uint8_t>(it - names.begin())},
-                                       usage->arrived, usage->over});
+    gather(now, DemandReport{ProxyId{usage->proxy}, OperationId{static_cast<std::uint8_t>(it - names.begin())}, usage->arrived,
+                             usage->over});
     return nullptr;
   }
   if (const auto* applied = std::get_if<Applied>(&message)) return stands_for(applied->proxy);  // the module sends no marks
@@ -140,6 +152,10 @@
   now_ = now;
   for (auto it = timers_.begin(); it != timers_.end() && it->first <= now; it = timers_.erase(it))
     pending_.emplace_back(TimerFired{it->second});
+  if (const auto when = ripe(); when && *when <= now) {
+    pending_.insert(pending_.end(), reports_.begin(), reports_.end());
+    reports_.clear();
+  }
   Effects effects;
   if (pending_.empty()) return effects;
   const auto events = std::exchange(pending_, {});
@@ -156,8 +172,9 @@
 }
 
 std::optional<Instant> Instance::wake() const {
-  if (timers_.empty()) return {};
-  return timers_.begin()->first;
+  const auto when = ripe();
+  if (timers_.empty()) return when;
+  return when ? std::min(*when, timers_.begin()->first) : timers_.begin()->first;
 }
 
 void Instance::forget() {
--- a/src/streams/instance.hpp
+++ b/src/streams/instance.hpp
@@ -32,8 +32,17 @@
     std::optional<StreamId> succeeds;    // the proxy's stream before this one, which is of no more use
   };
 
+  // The simulator hands on the lines of one report round together, and the module reads them as one picture of the
+  // fleet. On sockets they come over some milliseconds; so they wait until none has come for `quiet`, and no longer
+  // than `most`. Joinings, leavings and the list never wait.
+  struct Gather {
+    Span quiet = Span::seconds(0.005), most = Span::seconds(0.04);
+  };
+
   // `unix_zero`: where Unix time 0 lies on the clock that step() is handed.
-  Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero);
+  Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero, Gather gather);
+  Instance(Settings settings, Labels labels, std::uint64_t seed, Instant unix_zero)
+      : Instance{std::move(settings), std::move(labels), seed, unix_zero, Gather{}} {}
 
   // Returns how many rows could not be used, since their zone does not exist.
   std::size_t listed(const discovery::Listing& listing, bool remembered = false);
@@ -42,11 +51,11 @@
   void left(StreamId stream);
   [[nodiscard]] std::optional<ZoneId> zone(const std::string& name) const;
   // What a stream (or, without one, a collector) reports. Returns why it is skipped; null: it was taken.
-  [[nodiscard]] const char* report(std::optional<StreamId> from, const Message& message);
+  [[nodiscard]] const char* report(Instant now, std::optional<StreamId> from, const Message& message);
 
   [[nodiscard]] Effects step(Instant now);
   [[nodiscard]] std::optional<Instant> wake() const;
-  [[nodiscard]] bool pending() const { return !pending_.empty(); }
+  [[nodiscard]] bool pending() const { return !pending_.empty() || !reports_.empty(); }
 
   // What was heard since the last call, by the backends' zone, and what is in force.
   struct Belief {
@@ -71,11 +80,14 @@
   [[nodiscard]] BackendId id_of(const std::string& name);
   void unlist(BackendId id);
   void forget();
+  void gather(Instant now, Event report);
+  [[nodiscard]] std::optional<Instant> ripe() const;  // when the reports at hand are handed on
 
   Policy policy_;
   Labels labels_;
   double proxies_;
   Instant unix_zero_, now_;
+  Gather gather_;
   Tables tables_;
   std::map<std::string, BackendId, std::less<>> ids_;
   std::map<BackendId, Backend> backends_;
@@ -83,7 +95,8 @@
   std::map<StreamId, ProxyId> streams_;
   std::map<ProxyId, StreamId> proxies_on_;
   std::multimap<Instant, TimerTag> timers_;
-  std::vector<Event> pending_;
+  std::vector<Event> pending_, reports_;
+  Instant first_report_, last_report_;
   std::map<ZoneId, Belief::Zone> heard_;
   std::map<BackendId, std::pair<int, int>> errored_;  // of tries
 };
--- a/tests/streams/instance_test.cpp
+++ b/tests/streams/instance_test.cpp
@@ -80,8 +80,10 @@
 };
 
 struct Rig {
-  Rig() : instance{read_settings(Fields{config(), "settings"}), read_labels(Fields{config(), "settings"}), 5, Instant{}} {}
+  Rig(int, Instance::Gather gather) : instance{read_settings(Fields{config(), "settings"}), read_labels(Fields{config(), "settings"}), 5, Instant{}, gather} {}
+  explicit Rig(Instance::Gather gather = {Span{}, Span{}}) : Rig{0, gather} {}
   Instance instance;
+  Instant now;
   Proxies proxies;
   std::map<StreamId, std::uint16_t> streams;
   int follows = 0;
@@ -91,7 +93,8 @@
     streams[stream] = proxy;
   }
   void step(double at) {
-    const auto effects = instance.step(Instant::at_seconds(at));
+    now = Instant::at_seconds(at);
+    const auto effects = instance.step(now);
     follows += effects.follow ? 1 : 0;
     for (const auto& send : effects.sends) proxies.apply(streams.at(send.stream), send.message->bytes);
   }
@@ -128,6 +131,24 @@
   EXPECT_TRUE(r.instance.pending());
 }
 
+TEST(Instance, LinesOfOneRoundWaitForEachOtherAndNothingElseWaits) {
+  Rig r{Instance::Gather{Span::seconds(0.005), Span::seconds(0.04)}};
+  r.instance.listed(list(), true);
+  r.step(1);
+  const auto line = [&](double at) {
+    EXPECT_EQ(r.instance.report(Instant::at_seconds(at), {}, Heard{"a", "s-1", 9, 0, Span::seconds(0.2), Span::seconds(2), 0.5}), nullptr);
+  };
+  line(1.1), line(1.104);
+  EXPECT_EQ(r.instance.wake(), Instant::at_seconds(1.109));
+  r.join(1, 0);
+  r.step(1.105);  // the joining goes on at once, the lines still wait
+  EXPECT_TRUE(r.instance.pending());
+  r.step(1.109);
+  EXPECT_FALSE(r.instance.pending());
+  for (int k = 0; k < 20; ++k) line(1.2 + 0.004 * k);  // they come without a pause
+  EXPECT_EQ(r.instance.wake(), Instant::at_seconds(1.24));
+}
+
 TEST(Instance, JoiningsOfWhatDoesNotExistAreRefused) {
   Rig r;
   EXPECT_STREQ(r.instance.join(1, {8, "a", 1, true}).refused, "no such proxy");
@@ -140,17 +161,17 @@
   r.instance.listed(list(), true);
   r.join(1, 0);
   r.step(1);
-  EXPECT_STREQ(r.instance.report({}, Heard{"a", "s-99", 1, 0, {}, Span::seconds(2), {}}), "no such backend");
-  EXPECT_STREQ(r.instance.report({}, Heard{"z", "s-1", 1, 0, {}, Span::seconds(2), {}}), "no such zone");
-  EXPECT_STREQ(r.instance.report(1, Heard{"a", "s-1", 1, 0, {}, Span::seconds(2), {}}), "not a stream's to tell");
-  EXPECT_STREQ(r.instance.report(1, Usage{0, "tea", 1, Span::seconds(2)}), "no such operation");
-  EXPECT_STREQ(r.instance.report(1, Usage{1, "order", 1, Span::seconds(2)}), "another proxy's");
-  EXPECT_STREQ(r.instance.report({}, Usage{1, "order", 1, Span::seconds(2)}), "of a proxy that has not joined");
+  EXPECT_STREQ(r.instance.report(r.now, {}, Heard{"a", "s-99", 1, 0, {}, Span::seconds(2), {}}), "no such backend");
+  EXPECT_STREQ(r.instance.report(r.now, {}, Heard{"z", "s-1", 1, 0, {}, Span::seconds(2), {}}), "no such zone");
+  EXPECT_STREQ(r.instance.report(r.now, 1, Heard{"a", "s-1", 1, 0, {}, Span::seconds(2), {}}), "not a stream's to tell");
+  EXPECT_STREQ(r.instance.report(r.now, 1, Usage{0, "tea", 1, Span::seconds(2)}), "no such operation");
+  EXPECT_STREQ(r.instance.report(r.now, 1, Usage{1, "order", 1, Span::seconds(2)}), "another proxy's");
+  EXPECT_STREQ(r.instance.report(r.now, {}, Usage{1, "order", 1, Span::seconds(2)}), "of a proxy that has not joined");
   EXPECT_FALSE(r.instance.pending());
-  EXPECT_EQ(r.instance.report(1, Usage{0, "order", 1, Span::seconds(2)}), nullptr);
-  EXPECT_EQ(r.instance.report({}, Usage{0, "order", 1, Span::seconds(2)}), nullptr);
-  EXPECT_EQ(r.instance.report({}, Heard{"a", "s-1", 1, 0, {}, Span::seconds(2), {}}), nullptr);
-  EXPECT_EQ(r.instance.report(1, Applied{0, 3}), nullptr);
+  EXPECT_EQ(r.instance.report(r.now, 1, Usage{0, "order", 1, Span::seconds(2)}), nullptr);
+  EXPECT_EQ(r.instance.report(r.now, {}, Usage{0, "order", 1, Span::seconds(2)}), nullptr);
+  EXPECT_EQ(r.instance.report(r.now, {}, Heard{"a", "s-1", 1, 0, {}, Span::seconds(2), {}}), nullptr);
+  EXPECT_EQ(r.instance.report(r.now, 1, Applied{0, 3}), nullptr);
   EXPECT_TRUE(r.instance.pending());
 }
 
@@ -228,7 +249,7 @@
         for (int zone = 0; zone < 3; ++zone) {  // backend 4 fails from the tenth second on
           const int bad = k == 4 && now > 10 ? 9 : static_cast<int>(chance() % 2);
           items.push_back({{"t", "digest"}, {"i", 0}, {"site", zone}, {"backend", k}, {"many", 10}, {"lost", bad}, {"cost-time-s", 0.25}, {"elapsed-s", 2.0}, {"load", {{"cpu", 0.5}}}});
-          EXPECT_EQ(r.instance.report({}, Heard{std::string(1, static_cast<char>('a' + zone)), host_name(k), 10, bad, Span::seconds(0.25), Span::seconds(2), 0.5}), nullptr);
+          EXPECT_EQ(r.instance.report(r.now, {}, Heard{std::string(1, static_cast<char>('a' + zone)), host_name(k), 10, bad, Span::seconds(0.25), Span::seconds(2), 0.5}), nullptr);
         }
     if (round == 30 || round == 44) {  // a drain, then a new start of the same
       discovery::Listing change{2, false, {{host_name(7), "b", round == 30 ? discovery::Health::draining : discovery::Health::ready, 1, round == 30 ? 0 : 11'000}}};
