Tell a descriptor's next use apart, bound what one connection reads a turn, queue more joins

Loop::turn() found handlers by the descriptor's number alone: where one handler of a batch closes a second descriptor and its number is taken anew, the stale event reached the new handler. Each watch now has a number of use that the event must carry. 2. Connection::read_all() read until the socket was empty: a peer that sends as fast as it is read held the loop, timers and SIGTERM with it. Sixteen reads a turn now; the rest in the next. 3. The listen queue held 1,024, less than a fleet of 2,400 that redials at once; 4,096 now (the kernel's own bound still holds). Tests: Loop.AnEventOfADescriptorBeforeDoesNotReachTheNextOfItsNumber (without: one stale event), Connection.APeerThatSendsAsFastAsItIsReadDoesNotHoldUpTheLoop (without: the timer never fires while it sends). The third has no test of its own: the queue is the kernel's.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -44,10 +44,10 @@
 void Loop::watch(int fd, std::uint32_t events, Handler handler) {
   epoll_event e{};
   e.events = events | EPOLLET;
-  e.data.fd = fd;
+  e.data.u64 = std::uint64_t{++uses_} << 32U | static_cast<std::uint32_t>(fd);
   const bool known = handlers_.contains(fd);
   if (epoll_ctl(epoll_.get(), known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &e) != 0) fail("epoll_ctl");
-  handlers_[fd] = std::make_shared<Handler>(std::move(handler));
+  handlers_[fd] = {uses_, std::make_shared<Handler>(std::move(handler))};
 }
 
 void Loop::unwatch(int fd) {
@@ -108,11 +108,12 @@
   if (n < 0 && errno != EINTR) fail("epoll_wait");
   now_ = monotonic_now();
   for (int k = 0; k < n && !stopped_; ++k) {
-    // A handler before this one may have let go of the descriptor.
-    const auto it = handlers_.find(ready[static_cast<std::size_t>(k)].data.fd);
-    if (it == handlers_.end()) continue;
-    const auto handler = it->second;
-    (*handler)(ready[static_cast<std::size_t>(k)].events);
+    // A handler before this one may have let go of the descriptor, and its number may be in use again.
+    const auto& event = ready[static_cast<std::size_t>(k)];
+    const auto it = handlers_.find(static_cast<int>(event.data.u64 & 0xffffffffU));
+    if (it == handlers_.end() || it->second.use != event.data.u64 >> 32U) continue;
+    const auto handler = it->second.handler;
+    (*handler)(event.events);
   }
   while (!timers_.empty() && timers_.begin()->first.at <= now_ && !stopped_) {
     const Task task = std::move(timers_.begin()->second);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -54,7 +54,12 @@
   Instant now_;
   bool stopped_ = false;
   std::uint64_t turns_ = 0;
-  std::map<int, std::shared_ptr<Handler>> handlers_;
+  struct Watched {
+    std::uint32_t use = 0;  // tells a descriptor's number from its next use
+    std::shared_ptr<Handler> handler;
+  };
+  std::map<int, Watched> handlers_;
+  std::uint32_t uses_ = 0;
   std::map<Timer, Task> timers_;
   std::uint64_t timer_number_ = 0;
   std::vector<Task> tasks_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -75,6 +75,8 @@
 constexpr int kSocketBuffer = 4 << 20;
 constexpr int kAccepts = 64;  // connections taken before the loop goes round
 constexpr int kTurns = 16;  // batches before the loop goes round: about a millisecond of answers
+constexpr int kReads = 16;  // of one connection before the loop goes round: 256 KiB
+constexpr int kQueue = 4096;  // connections that wait to be accepted: a whole fleet may dial at once
 
 }  // namespace
 
@@ -248,7 +250,14 @@
   if (reading_) return;
   reading_ = true;
   std::array<char, 16384> part;
-  while (fd_) {
+  for (int reads = 0; fd_; ++reads) {
+    if (reads == kReads) {  // a peer that sends as fast as it is read gets its turn and no more
+      if (!std::exchange(more_, true))
+        loop_.soon([weak = weak_from_this()] {
+          if (const auto strong = weak.lock()) strong->more_ = false, strong->read_all();
+        });
+      break;
+    }
     if (!limits_.always_read && unsent() > limits_.write_most / 2) {
       paused_ = true;  // a peer that does not read its answers gets no more of them
       break;
@@ -330,7 +339,7 @@
   fd_ = make_socket(at.address, SOCK_STREAM);
   set(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
   bind_to(fd_, at);
-  if (::listen(fd_.get(), 1024) != 0) fail("listen " + at.text());
+  if (::listen(fd_.get(), kQueue) != 0) fail("listen " + at.text());
   start(std::move(on_accept));
 }
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -95,7 +95,7 @@
   OnClose on_close_;
   std::string in_, out_;
   std::size_t sent_ = 0;
-  bool finishing_ = false, half_closing_ = false, shut_ = false, reading_ = false, paused_ = false;
+  bool finishing_ = false, half_closing_ = false, shut_ = false, reading_ = false, paused_ = false, more_ = false;
   Loop::Timer idle_;
 };
 
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -1,6 +1,7 @@
 // The loop, connections with their bounds, HTTP on them, and what workers say.
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include "dns/server.hpp"
@@ -72,6 +73,56 @@
   EXPECT_EQ(p.why, "not reading");
 }
 
+// Both descriptors are ready in one batch; the first handler lets go of the second and takes its number anew.
+TEST(Loop, AnEventOfADescriptorBeforeDoesNotReachTheNextOfItsNumber) {
+  Loop loop;
+  int ends[2][2];
+  for (auto& pair : ends) ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), 0);
+  int other[2];
+  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, other), 0);
+  int first = -1, stale = 0;
+  for (int k = 0; k < 2; ++k)
+    loop.watch(ends[k][0], EPOLLIN, [&, k](std::uint32_t) {
+      if (first >= 0) return;
+      first = k;
+      const int number = ends[1 - k][0];
+      loop.unwatch(number);
+      ASSERT_EQ(::dup2(other[0], number), number);  // closes it; the number stands for another socket now
+      loop.watch(number, EPOLLIN, [&](std::uint32_t) { ++stale; });
+    });
+  for (const auto& pair : ends) ASSERT_EQ(::send(pair[1], "x", 1, MSG_NOSIGNAL), 1);
+  loop.after(Span::seconds(0.02), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_GE(first, 0);
+  EXPECT_EQ(stale, 0);
+  ASSERT_EQ(::send(other[1], "x", 1, MSG_NOSIGNAL), 1);  // its own event does reach it
+  loop.after(Span::seconds(0.02), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(stale, 1);
+  for (const auto& pair : ends) ::close(pair[0]), ::close(pair[1]);
+  ::close(other[0]), ::close(other[1]);
+}
+
+// The peer has always sent more by the time all is read. Bounded, so that without the limit it ends too.
+TEST(Connection, APeerThatSendsAsFastAsItIsReadDoesNotHoldUpTheLoop) {
+  bool timer_fired = false;
+  int fed = 0;
+  Fd* feeder = nullptr;
+  const std::string part(1000, 'x');
+  Pair p{{1U << 20U, 1000, Span::seconds(5)}, [&](std::string_view in) {
+           if (!timer_fired && fed < 20000 && feeder != nullptr) ++fed, (void)!::send(feeder->get(), part.data(), part.size(), MSG_NOSIGNAL);
+           return in.size();
+         }};
+  ASSERT_TRUE(p.client);
+  feeder = &p.client;
+  p.loop.after(Span::seconds(0.005), [&] { timer_fired = true; });
+  ASSERT_GT(::send(p.client.get(), part.data(), part.size(), MSG_NOSIGNAL), 0);
+  p.run(0.1);
+  EXPECT_TRUE(timer_fired);
+  EXPECT_GT(fed, 16);
+  EXPECT_LT(fed, 20000);
+}
+
 // The kernel wakes whoever polls a socket at each shutdown of it, so one at every wake-up never comes to rest.
 TEST(Connection, HalfClosedItRestsUntilThePeerGoes) {
   for (const bool unsent_at_first : {false, true}) {
