Replace a silent watch while it stands; take answers in pieces; believe an older list the second time

Found by reading and by a test that cuts an answer at every byte; each forced on real sockets. 1. An empty body for the whole list passed as taken, and as the list was still due it was asked for again at once: a storm of calls on the shared service without any wait (Watch::line, answered). It is a failure now. 2. The deadline of an answer was not moved by bytes that came: a list in pieces over more than 2.5 s was thrown away and asked for again for ever. It goes on while bytes come, 15 s at most. 3. A watch whose first line was empty never counted as answered, and was ended and asked for anew each 2.5 s. A silent watch was ended after 3.2 s, and a dial and an answer later all of 6.7 s could be gone, where all counts as told after 6 s. After 2.4 s without a whole line another is asked for beside it, and the old one's lines still count: 2.4 + 1 + 2.5 s. 5. Five coordinators asked again each 0.3 or 0.5 s on the dot. By chance from the given seed now, 0.2 to 0.6 s. 6. A whole list with a version below ours was taken at once, however late. It is asked for once more and counts when it comes again. 7. A list whose length only its end told was lost. 8. set_endpoint destroyed a call in place; it is retired to the turn's end, so no other call can have its address meanwhile; back at an address whose watch stands nothing is asked. Excluded by reading: callbacks of a cancelled dial (weak handles), Gone beside a re-listing (the last row counts, in Instance and in the module), an empty whole list with a newer version (the settings' removal rule is the module's).

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -53,7 +53,7 @@
       : config_{std::move(config)},
         log_{"gorsemount", "info", ""},
         instance_{config_.settings, config_.labels, config_.seed, unix_zero()},
-        watch_{loop_, config_.discovery, {},
+        watch_{loop_, config_.discovery, {}, config_.seed,
                {[this](discovery::Listing list) { take(list); }, [this](const std::string& why) { lost(why); }}},
         gate_{loop_, config_.listen, {room_for_strangers(config_)}, desk()} {
     loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
@@ -61,9 +61,9 @@
     loop_.on_signal(SIGHUP, [this] { reload(); });
     if (config_.known) {
       instance_.listed(*config_.known, true);
-      watch_.know(config_.known->version);
+      watch_.resume_from(config_.known->version);
     }
-    if (!config_.settings.ask_for_list) watch_.follow();
+    if (!config_.settings.ask_for_list) watch_.subscribe();
     step();
     log_.event(log::Level::info, "started",
                {{"name", config_.name}, {"listen", config_.listen.text()}, {"discovery", config_.discovery.text()},
@@ -102,7 +102,7 @@
       instance_.list_failed();
       soon();
     } else {
-      loop_.after(Span::seconds(0.5), [this] { watch_.follow(); });
+      watch_.subscribe_later();
     }
   }
 
@@ -121,7 +121,7 @@
       gate_.send(send.stream, send.message->bytes);
       lines_out_ += send.message->counts;
     }
-    if (effects.follow) watch_.follow();
+    if (effects.follow) watch_.subscribe();
     longest_decision_ = std::max(longest_decision_, decided - begun);
     longest_step_ = std::max(longest_step_, net::monotonic_now() - begun);
     ++steps_;
@@ -141,7 +141,7 @@
     log_.event(log::Level::info, "reloaded",
                {{"discovery", fresh.discovery.text()}, {"needs_a_restart", others ? "settings or address to listen at" : ""}});
     config_.discovery = fresh.discovery;
-    watch_.move(fresh.discovery);
+    watch_.set_endpoint(fresh.discovery);
   }
 
   void stop(const char* why) {
