Rename to the field's terms: pending connection, malformed, protocol error, join, callbacks

Desk, Told: Callbacks; stranger: pending connection; spoilt: malformed; unreadable: protocol error; joining: join; leaving: closing; say, soon: log_state, schedule.

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-const Span kSayEvery = Span::seconds(1);
+const Span kLogStateEvery = Span::seconds(1);
 
 std::optional<std::string> environment(const char* name) {
   const char* value = std::getenv(name);
@@ -34,8 +34,8 @@
   return net::monotonic_now() - Span::micros(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
-// How many strangers may be here at a time: what the fleet's own connections leave of the descriptors.
-std::size_t room_for_strangers(const CoordinatorConfig& c) {
+// How many pending may be here at a time: what the fleet's own connections leave of the descriptors.
+std::size_t room_for_pending(const CoordinatorConfig& c) {
   constexpr std::size_t own = 24;  // epoll, signals, the listener, logs, discovery's calls, and some to spare
   const std::size_t kept = own + static_cast<std::size_t>(c.settings.proxies) + 3 * c.labels.zones.size();
   return c.sockets > kept + 8 ? std::min<std::size_t>(c.sockets - kept, 512) : 8;
@@ -55,7 +55,7 @@
         instance_{config_.settings, config_.labels, config_.seed, unix_zero()},
         watch_{loop_, config_.discovery, {}, config_.seed,
                {[this](discovery::Listing list) { take(list); }, [this](const std::string& why) { lost(why); }}},
-        gate_{loop_, config_.listen, {room_for_strangers(config_)}, desk()} {
+        gate_{loop_, config_.listen, {room_for_pending(config_)}, callbacks()} {
     loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
     loop_.on_signal(SIGINT, [this] { stop("SIGINT"); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -67,24 +67,24 @@
     step();
     log_.event(log::Level::info, "started",
                {{"name", config_.name}, {"listen", config_.listen.text()}, {"discovery", config_.discovery.text()},
-                {"known", std::to_string(config_.known ? config_.known->rows.size() : 0)}, {"strangers_most", std::to_string(room_for_strangers(config_))}});
-    say_later();
+                {"known", std::to_string(config_.known ? config_.known->rows.size() : 0)}, {"pending_most", std::to_string(room_for_pending(config_))}});
+    log_state_later();
   }
   void run() { loop_.run(); }
 
  private:
-  streams::Gate::Desk desk() {
+  streams::Gate::Callbacks callbacks() {
     return {[this](streams::StreamId id, const streams::Joined& m) {
-              soon();
+              schedule();
               return instance_.join(id, m);
             },
             [this](const streams::Collector& m) { return instance_.zone(m.zone) ? nullptr : "no such zone"; },
             [this](std::optional<streams::StreamId> from, const streams::Message& m) {
-              soon();
+              schedule();
               return instance_.report(net::monotonic_now(), from, m);
             },
             [this](streams::StreamId id) {
-              soon();
+              schedule();
               instance_.left(id);
             }};
   }
@@ -93,21 +93,21 @@
     list_at_ = loop_.now();
     if (const std::size_t skipped = instance_.listed(list); skipped > 0)
       log_.event(log::Level::warning, "rows_skipped", {{"zone_unknown", std::to_string(skipped)}});
-    soon();
+    schedule();
   }
 
   void lost(const std::string& why) {
     log_.event(log::Level::warning, "watch_lost", {{"why", why}, {"version", std::to_string(watch_.version())}});
     if (config_.settings.ask_for_list) {  // the module says when to ask again
       instance_.list_failed();
-      soon();
+      schedule();
     } else {
       watch_.subscribe_later();
     }
   }
 
   // What comes in one turn of the loop is one batch.
-  void soon() {
+  void schedule() {
     if (std::exchange(scheduled_, true)) return;
     loop_.soon([this] { step(); });
   }
@@ -145,25 +145,25 @@
   }
 
   void stop(const char* why) {
-    say();
+    log_state();
     log_.event(log::Level::info, "stopping", {{"why", why}});
     loop_.stop();
   }
 
-  void say_later() {
-    loop_.after(kSayEvery, [this] {
-      say();
-      say_later();
+  void log_state_later() {
+    loop_.after(kLogStateEvery, [this] {
+      log_state();
+      log_state_later();
     });
   }
 
   // What it believes, to be set beside what passed on the sockets.
-  void say() {
+  void log_state() {
     const auto belief = instance_.believe();
     const auto& counts = gate_.counts();
     log::Fields fields{{"streams", std::to_string(belief.joined)},
                        {"peers", std::to_string(gate_.peers())},
-                       {"strangers", std::to_string(gate_.strangers())},
+                       {"pending", std::to_string(gate_.pending())},
                        {"version", std::to_string(watch_.version())},
                        {"watch", watch_.following() ? "stands" : "none"},
                        {"list_age_s", list_at_ ? fmt::format("{:.1f}", (loop_.now() - *list_at_).seconds()) : ""},
@@ -179,10 +179,10 @@
                        {"bytes_out", std::to_string(counts.bytes_out)},
                        {"reports", std::to_string(counts.reports)},
                        {"accepted", std::to_string(counts.accepted)},
-                       {"joinings", std::to_string(counts.streams)},
-                       {"unreadable", std::to_string(counts.unreadable)},
+                       {"joins", std::to_string(counts.streams)},
+                       {"protocol_errors", std::to_string(counts.protocol_errors)},
                        {"not_reading", std::to_string(counts.not_reading)},
-                       {"spoilt", listed(counts.spoilt)},
+                       {"malformed", listed(counts.malformed)},
                        {"refused", listed(counts.refusals)},
                        {"turns", std::to_string(loop_.turns())},
                        {"steps", std::to_string(steps_)},
--- a/src/streams/gate.cpp
+++ b/src/streams/gate.cpp
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-Gate::Gate(net::Loop& loop, const Endpoint& at, Limits limits, Desk desk)
-    : loop_{loop}, limits_{limits}, desk_{std::move(desk)} {
+Gate::Gate(net::Loop& loop, const Endpoint& at, Limits limits, Callbacks callbacks)
+    : loop_{loop}, limits_{limits}, callbacks_{std::move(callbacks)} {
   listener_ = std::make_unique<net::Listener>(loop_, at, [this](net::Fd fd, const Endpoint&) { accept(std::move(fd)); });
 }
 
@@ -34,25 +34,25 @@
   ++counts_.accepted;
   const StreamId id = ++last_;
   Peer& peer = peers_[id];
-  strangers_.insert(id);
-  peer.deadline = loop_.after(limits_.joins_within, [this, id] { refuse(id, "no joining in time"); });
-  // A quiet stream is not a dead one, so nothing here closes for quiet; the deadline bounds strangers.
+  pending_.insert(id);
+  peer.deadline = loop_.after(limits_.joins_within, [this, id] { refuse(id, "no join in time"); });
+  // A quiet stream is not a dead one, so nothing here closes for quiet; the deadline bounds pending.
   peer.connection = net::Connection::make(
       loop_, std::move(fd), {limits_.half_message + (16U << 10U), limits_.unread, Span{}, true},
       [this, id](std::string_view bytes) { return data(id, bytes); }, [this, id](const char* why) { closed(id, why); });
-  // Its joining is mostly here already: read it before a flood behind it can make it the oldest stranger.
+  // Its join is mostly here already: read it before a flood behind it can make it the oldest pending connection.
   const auto connection = peer.connection;
   connection->read_now();
 }
 
 void Gate::make_room() {
-  while (strangers_.size() >= limits_.strangers) {
-    const auto first = [&](auto&& is) { return std::find_if(strangers_.begin(), strangers_.end(), is); };
-    auto it = first([&](StreamId id) { return peers_.at(id).role == Role::leaving; });
-    if (it == strangers_.end()) it = first([&](StreamId id) { return !peers_.at(id).hopeful; });
-    if (it == strangers_.end()) it = strangers_.begin();
+  while (pending_.size() >= limits_.pending) {
+    const auto first = [&](auto&& is) { return std::find_if(pending_.begin(), pending_.end(), is); };
+    auto it = first([&](StreamId id) { return peers_.at(id).role == Role::closing; });
+    if (it == pending_.end()) it = first([&](StreamId id) { return !peers_.at(id).hopeful; });
+    if (it == pending_.end()) it = pending_.begin();
     const StreamId id = *it;
-    if (peers_.at(id).role == Role::stranger) {
+    if (peers_.at(id).role == Role::pending) {
       peers_.at(id).connection->send(write_refused("no room"));
       count(counts_.refusals, "no room"), ++counts_.refused;
     }
@@ -64,16 +64,16 @@
   const auto it = peers_.find(id);
   if (it == peers_.end()) return bytes.size();
   Peer& peer = it->second;
-  if (peer.role == Role::leaving) {
+  if (peer.role == Role::closing) {
     peer.discarded += bytes.size();
     if (peer.discarded > kDiscardMost) drop(id);
     return bytes.size();
   }
   const auto end = bytes.find('\n');
   const auto part = bytes.substr(0, end);
-  const bool stranger = peer.role == Role::stranger;
-  if (hopeless(part) || (stranger && part.size() > limits_.half_message)) {
-    stranger ? refuse(id, "not a message") : unreadable(id, "not a message");
+  const bool pending = peer.role == Role::pending;
+  if (hopeless(part) || (pending && part.size() > limits_.half_message)) {
+    pending ? refuse(id, "not a message") : protocol_error(id, "not a message");
     return bytes.size();
   }
   peer.hopeful = true;
@@ -85,27 +85,27 @@
 }
 
 void Gate::message(StreamId id, Peer& peer, const Message& m) {
-  const bool stranger = peer.role == Role::stranger;
+  const bool pending = peer.role == Role::pending;
   if (std::holds_alternative<Ping>(m)) {
     ++counts_.pings;
     peer.connection->send(kPong);
     return;
   }
-  if (const auto* bad = std::get_if<Unreadable>(&m))
-    return stranger ? refuse(id, bad->why.c_str()) : unreadable(id, bad->why.c_str());
-  if (const auto* bad = std::get_if<Spoilt>(&m))
-    return stranger ? refuse(id, "a message that lacks what it must have") : spoilt(bad->kind, bad->field);
+  if (const auto* bad = std::get_if<ProtocolError>(&m))
+    return pending ? refuse(id, bad->why.c_str()) : protocol_error(id, bad->why.c_str());
+  if (const auto* bad = std::get_if<Malformed>(&m))
+    return pending ? refuse(id, "a message that lacks what it must have") : malformed(bad->kind, bad->field);
   if (const auto* joined = std::get_if<Joined>(&m)) {
-    if (!stranger) return spoilt("joined", "joined already");
-    const auto result = desk_.joined(id, *joined);
+    if (!pending) return malformed("joined", "joined already");
+    const auto result = callbacks_.joined(id, *joined);
     if (result.refused != nullptr) return refuse(id, result.refused);
     if (result.succeeds) end(*result.succeeds);
     ++counts_.streams;
     return settled(id, peer, Role::stream);
   }
   if (const auto* collector = std::get_if<Collector>(&m)) {
-    if (!stranger) return spoilt("collector", "joined already");
-    if (const char* why = desk_.collector(*collector)) return refuse(id, why);
+    if (!pending) return malformed("collector", "joined already");
+    if (const char* why = callbacks_.collector(*collector)) return refuse(id, why);
     peer.zone = collector->zone;
     auto& same = collectors_[peer.zone];
     same.push_back(id);
@@ -113,15 +113,15 @@
     if (same.size() > kCollectorsMost) drop(same.front());
     return;
   }
-  if (stranger) return refuse(id, "a report without a joining");
+  if (pending) return refuse(id, "a report without a join");
   ++counts_.reports;
   const auto from = peer.role == Role::stream ? std::optional{id} : std::nullopt;
-  if (const char* why = desk_.report(from, m)) spoilt("report", why);
+  if (const char* why = callbacks_.report(from, m)) malformed("report", why);
 }
 
 void Gate::settled(StreamId id, Peer& peer, Role role) {
   peer.role = role;
-  strangers_.erase(id);
+  pending_.erase(id);
   loop_.cancel(peer.deadline);
   peer.connection->limit({kMessageMost + (16U << 10U), limits_.unread, Span{}, true});
 }
@@ -129,10 +129,10 @@
 // Says why and goes: what still comes is read for a moment, so that a reset does not eat the answer.
 void Gate::refuse(StreamId id, const char* why) {
   const auto it = peers_.find(id);
-  if (it == peers_.end() || it->second.role != Role::stranger) return;
+  if (it == peers_.end() || it->second.role != Role::pending) return;
   count(counts_.refusals, why), ++counts_.refused;
   Peer& peer = it->second;
-  peer.role = Role::leaving;
+  peer.role = Role::closing;
   loop_.cancel(peer.deadline);
   peer.deadline = loop_.after(kLeaveWithin, [this, id] { drop(id); });
   const auto connection = peer.connection;
@@ -140,15 +140,15 @@
   connection->half_close();
 }
 
-void Gate::unreadable(StreamId id, const char* why) {
-  ++counts_.unreadable;
-  count(counts_.spoilt, std::string{"unreadable: "} + why);
+void Gate::protocol_error(StreamId id, const char* why) {
+  ++counts_.protocol_errors;
+  count(counts_.malformed, std::string{"protocol error: "} + why);
   const bool stream = peers_.at(id).role == Role::stream;
   drop(id);
-  if (stream) desk_.left(id);
+  if (stream) callbacks_.left(id);
 }
 
-void Gate::spoilt(const std::string& kind, const std::string& why) { count(counts_.spoilt, kind + ": " + why); }
+void Gate::malformed(const std::string& kind, const std::string& why) { count(counts_.malformed, kind + ": " + why); }
 
 void Gate::closed(StreamId id, const char* why) {
   const auto it = peers_.find(id);
@@ -156,7 +156,7 @@
   const bool stream = it->second.role == Role::stream;
   if (std::string_view{why} == "not reading") ++counts_.not_reading;
   drop(id);
-  if (stream) desk_.left(id);
+  if (stream) callbacks_.left(id);
 }
 
 void Gate::drop(StreamId id) {
@@ -164,7 +164,7 @@
   if (it == peers_.end()) return;
   loop_.cancel(it->second.deadline);
   if (it->second.role == Role::collector) std::erase(collectors_[it->second.zone], id);
-  strangers_.erase(id);
+  pending_.erase(id);
   const auto connection = std::move(it->second.connection);
   peers_.erase(it);
   if (connection) connection->close("done");
--- a/src/streams/gate.hpp
+++ b/src/streams/gate.hpp
@@ -1,5 +1,5 @@
-// The coordinator's address: who connects is a stranger until a valid joining makes it a proxy's stream or a
-// collector. It reads lines, keeps strangers within bounds of time, bytes and descriptors, and decides nothing else.
+// The coordinator's address: who connects is a pending connection until a valid join makes it a proxy's stream or a
+// collector. It reads lines, keeps pending within bounds of time, bytes and descriptors, and decides nothing else.
 #pragma once
 
 #include <array>
@@ -19,40 +19,40 @@
 class Gate {
  public:
   struct Limits {
-    std::size_t strangers = 64;               // held at a time; beyond, the oldest goes
+    std::size_t pending = 64;               // held at a time; beyond, the oldest goes
     Span joins_within = Span::seconds(1.2);   // a second is owed, and something for a busy moment
-    std::size_t half_message = 4096;          // of a stranger: no joining is longer
+    std::size_t half_message = 4096;          // of a pending connection: no join is longer
     std::size_t unread = 128U << 10U;         // what a peer may leave unread, as on the platform
   };
   // Who says what a message is worth. Null: it was taken; else why it is refused or skipped.
-  struct Desk {
-    std::function<Instance::Joining(StreamId, const Joined&)> joined;
+  struct Callbacks {
+    std::function<Instance::JoinResult(StreamId, const Joined&)> joined;
     std::function<const char*(const Collector&)> collector;
     std::function<const char*(std::optional<StreamId>, const Message&)> report;
     std::function<void(StreamId)> left;
   };
   struct Counts {
-    std::uint64_t accepted = 0, refused = 0, streams = 0, unreadable = 0, not_reading = 0, pings = 0;
+    std::uint64_t accepted = 0, refused = 0, streams = 0, protocol_errors = 0, not_reading = 0, pings = 0;
     std::uint64_t reports = 0, bytes_out = 0, messages_out = 0;
-    std::map<std::string, std::uint64_t> spoilt;     // by kind and reason
+    std::map<std::string, std::uint64_t> malformed;     // by kind and reason
     std::map<std::string, std::uint64_t> refusals;   // by reason
   };
 
-  Gate(net::Loop& loop, const Endpoint& at, Limits limits, Desk desk);  // throws std::system_error
+  Gate(net::Loop& loop, const Endpoint& at, Limits limits, Callbacks callbacks);  // throws std::system_error
   ~Gate();
   Gate(const Gate&) = delete;
   Gate& operator=(const Gate&) = delete;
 
   void send(StreamId stream, std::string_view bytes);
-  void end(StreamId stream);  // another has succeeded it; the desk is not told
+  void end(StreamId stream);  // another has succeeded it; the callbacks is not told
   [[nodiscard]] const Counts& counts() const { return counts_; }
-  [[nodiscard]] std::size_t strangers() const { return strangers_.size(); }
+  [[nodiscard]] std::size_t pending() const { return pending_.size(); }
   [[nodiscard]] std::size_t peers() const { return peers_.size(); }
 
  private:
-  enum class Role { stranger, leaving, stream, collector };
+  enum class Role { pending, closing, stream, collector };
   struct Peer {
-    Role role = Role::stranger;
+    Role role = Role::pending;
     std::shared_ptr<net::Connection> connection;
     net::Loop::Timer deadline;
     std::size_t discarded = 0;
@@ -64,17 +64,17 @@
   void message(StreamId id, Peer& peer, const Message& message);
   void settled(StreamId id, Peer& peer, Role role);
   void refuse(StreamId id, const char* why);
-  void unreadable(StreamId id, const char* why);
-  void spoilt(const std::string& kind, const std::string& why);
+  void protocol_error(StreamId id, const char* why);
+  void malformed(const std::string& kind, const std::string& why);
   void closed(StreamId id, const char* why);
   void drop(StreamId id);
   void make_room();
 
   net::Loop& loop_;
   Limits limits_;
-  Desk desk_;
+  Callbacks callbacks_;
   std::map<StreamId, Peer> peers_;
-  std::set<StreamId> strangers_;  // and those that leave; oldest first
+  std::set<StreamId> pending_;  // and those that leave; oldest first
   std::map<std::string, std::vector<StreamId>> collectors_;  // by zone, oldest first
   StreamId last_ = 0;
   Counts counts_;
--- a/src/streams/instance.cpp
+++ b/src/streams/instance.cpp
@@ -80,12 +80,12 @@
   return skipped;
 }
 
-Instance::Joining Instance::join(StreamId stream, const Joined& m) {
+Instance::JoinResult Instance::join(StreamId stream, const Joined& m) {
   const auto where = zone(m.zone);
   if (!where) return {"no such zone", {}};
   if (m.proxy >= proxies_) return {"no such proxy", {}};
   if (streams_.contains(stream)) return {"joined already", {}};
-  Joining result;
+  JoinResult result;
   const ProxyId proxy{m.proxy};
   if (const auto before = proxies_on_.find(proxy); before != proxies_on_.end()) {
     result.succeeds = before->second;
--- a/src/streams/instance.hpp
+++ b/src/streams/instance.hpp
@@ -27,14 +27,14 @@
     std::vector<Send> sends;
     bool follow = false;  // discovery is to be asked for changes
   };
-  struct Joining {
+  struct JoinResult {
     const char* refused = nullptr;       // why; null: it has joined
     std::optional<StreamId> succeeds;    // the proxy's stream before this one, which is of no more use
   };
 
   // The simulator hands on the lines of one report round together, and the module reads them as one picture of the
   // fleet. On sockets they come over some milliseconds; so they wait until none has come for `quiet`, and no longer
-  // than `most`. Joinings, leavings and the list never wait.
+  // than `most`. Joins, leavings and the list never wait.
   struct Gather {
     Span quiet = Span::seconds(0.005), most = Span::seconds(0.04);
   };
@@ -47,7 +47,7 @@
   // Returns how many rows could not be used, since their zone does not exist.
   std::size_t listed(const discovery::Listing& listing, bool remembered = false);
   void list_failed() { pending_.emplace_back(Listed{ListScope::failed, {}}); }
-  [[nodiscard]] Joining join(StreamId stream, const Joined& message);
+  [[nodiscard]] JoinResult join(StreamId stream, const Joined& message);
   void left(StreamId stream);
   [[nodiscard]] std::optional<ZoneId> zone(const std::string& name) const;
   // What a stream (or, without one, a collector) reports. Returns why it is skipped; null: it was taken.
--- a/src/streams/message.cpp
+++ b/src/streams/message.cpp
@@ -140,14 +140,14 @@
 }  // namespace
 
 Message read_message(std::string_view line) {
-  if (!printable(line)) return Unreadable{"bytes that are no text"};
+  if (!printable(line)) return ProtocolError{"bytes that are no text"};
   const auto space = line.find(' ');
   const auto kind = line.substr(0, space);
-  if (std::find(kKinds.begin(), kKinds.end(), kind) == kKinds.end()) return Unreadable{"no kind of message that is taken here"};
+  if (std::find(kKinds.begin(), kKinds.end(), kind) == kKinds.end()) return ProtocolError{"no kind of message that is taken here"};
   try {
     return read_known(kind, Words{space == std::string_view::npos ? std::string_view{} : line.substr(space)});
   } catch (const Fault& fault) {
-    return Spoilt{std::string{kind}, fault.field};
+    return Malformed{std::string{kind}, fault.field};
   }
 }
 
--- a/src/streams/message.hpp
+++ b/src/streams/message.hpp
@@ -43,13 +43,13 @@
   std::uint16_t proxy = 0;
   std::uint16_t mark = 0;
 };
-struct Spoilt {  // a known kind that lacks a field, or holds it out of range: it is skipped
+struct Malformed {  // a known kind that lacks a field, or holds it out of range: it is skipped
   std::string kind, field;
 };
-struct Unreadable {  // no message at all: the peer is of no further use
+struct ProtocolError {  // no message at all: the peer is of no further use
   std::string why;
 };
-using Message = std::variant<Ping, Collector, Joined, Heard, Usage, Applied, Spoilt, Unreadable>;
+using Message = std::variant<Ping, Collector, Joined, Heard, Usage, Applied, Malformed, ProtocolError>;
 
 // One line, without its end.
 [[nodiscard]] Message read_message(std::string_view line);
--- a/tests/streams/gate_test.cpp
+++ b/tests/streams/gate_test.cpp
@@ -44,10 +44,10 @@
 
 struct Rig {
   explicit Rig(Gate::Limits limits = {}) {
-    gate = std::make_unique<Gate>(loop, kAt, limits, Gate::Desk{
-        [this](StreamId id, const Joined& m) -> Instance::Joining {
+    gate = std::make_unique<Gate>(loop, kAt, limits, Gate::Callbacks{
+        [this](StreamId id, const Joined& m) -> Instance::JoinResult {
           if (m.proxy > 100) return {"no such proxy", {}};
-          Instance::Joining result;
+          Instance::JoinResult result;
           if (const auto it = on.find(m.proxy); it != on.end()) result.succeeds = it->second;
           on[m.proxy] = id;
           return result;
@@ -98,7 +98,7 @@
   EXPECT_EQ(r.arrived, 3);
 }
 
-TEST(Gate, AQuietStreamAndAQuietCollectorStayBeyondTheStrangersDeadline) {
+TEST(Gate, AQuietStreamAndAQuietCollectorStayBeyondThePendingOnesDeadline) {
   Gate::Limits limits;
   limits.joins_within = Span::seconds(0.1);
   Rig r{limits};
@@ -131,14 +131,14 @@
   EXPECT_TRUE(r.on.empty());
 }
 
-TEST(Gate, SpoiltReportsAreCountedAndTheirStreamLives) {
+TEST(Gate, MalformedReportsAreCountedAndTheirStreamLives) {
   Rig r;
   Client c{joined(1) + "usage sidecar=1 kind=x n=-4 bad=0 window=1\r\nusage sidecar=1\r\nusage sidecar=1 kind=x n=4 bad=0 window=1\r\npong\r\n" + joined(1)};
   r.run();
   EXPECT_FALSE(c.closed());
   EXPECT_EQ(r.arrived, 4);
   EXPECT_TRUE(r.left.empty());
-  EXPECT_EQ(r.gate->counts().spoilt.at("usage: n"), 1U);
+  EXPECT_EQ(r.gate->counts().malformed.at("usage: n"), 1U);
 }
 
 TEST(Gate, AStreamThatContinuesWithWhatCanNotBeReadHasLeftAtOnce) {
@@ -166,12 +166,12 @@
   r.run();
   EXPECT_TRUE(old.closed());
   EXPECT_FALSE(fresh.closed());
-  EXPECT_TRUE(r.left.empty());  // the desk said so itself
+  EXPECT_TRUE(r.left.empty());  // the callbacks said so itself
 }
 
-TEST(Gate, AFloodOfStrangersCostsNoProxyItsPlace) {
+TEST(Gate, AFloodOfPendingOnesCostsNoProxyItsPlace) {
   Gate::Limits limits;
-  limits.strangers = 20;
+  limits.pending = 20;
   Rig r{limits};
   std::list<Client> flood;
   std::list<Client> proxies;
@@ -181,7 +181,7 @@
   }
   r.run(0.2);
   EXPECT_EQ(r.on.size(), 30U);
-  EXPECT_LE(r.gate->strangers(), 20U);
+  EXPECT_LE(r.gate->pending(), 20U);
   r.run(1.8);
   for (auto& c : flood) EXPECT_TRUE(c.closed());
   for (auto& c : proxies) EXPECT_FALSE(c.closed());
--- a/tests/streams/instance_test.cpp
+++ b/tests/streams/instance_test.cpp
@@ -1,4 +1,4 @@
-// A coordinator without sockets: joinings, successors, names, and the same tables as the bench's adapter orders.
+// A coordinator without sockets: joins, successors, names, and the same tables as the bench's adapter orders.
 #include "streams/instance.hpp"
 
 #include <gtest/gtest.h>
@@ -88,8 +88,8 @@
   std::map<StreamId, std::uint16_t> streams;
   int follows = 0;
   void join(StreamId stream, std::uint16_t proxy) {
-    const auto joining = instance.join(stream, {proxy, std::string(1, static_cast<char>('a' + proxy % 3)), 5, true});
-    ASSERT_EQ(joining.refused, nullptr);
+    const auto join = instance.join(stream, {proxy, std::string(1, static_cast<char>('a' + proxy % 3)), 5, true});
+    ASSERT_EQ(join.refused, nullptr);
     streams[stream] = proxy;
   }
   void step(double at) {
@@ -119,8 +119,8 @@
   for (std::uint16_t p = 0; p < 8; ++p) r.join(p + 1U, p);
   r.step(1);
   r.proxies.held.clear();
-  const auto joining = r.instance.join(100, {3, "a", 5, false});
-  EXPECT_EQ(joining.succeeds, StreamId{4});
+  const auto join = r.instance.join(100, {3, "a", 5, false});
+  EXPECT_EQ(join.succeeds, StreamId{4});
   r.streams[100] = 3;
   r.step(1.1);
   EXPECT_FALSE(r.proxies.held.at(3).lines.empty());  // the new stream gets a whole table
@@ -141,7 +141,7 @@
   line(1.1), line(1.104);
   EXPECT_EQ(r.instance.wake(), Instant::at_seconds(1.109));
   r.join(1, 0);
-  r.step(1.105);  // the joining goes on at once, the lines still wait
+  r.step(1.105);  // the join goes on at once, the lines still wait
   EXPECT_TRUE(r.instance.pending());
   r.step(1.109);
   EXPECT_FALSE(r.instance.pending());
--- a/tests/streams/message_test.cpp
+++ b/tests/streams/message_test.cpp
@@ -69,13 +69,13 @@
       {"collector", "az"},
       {"pong", "kind"},
   };
-  for (const auto& [line, field] : cases) EXPECT_EQ(read<Spoilt>(line).field, field) << line;
+  for (const auto& [line, field] : cases) EXPECT_EQ(read<Malformed>(line).field, field) << line;
 }
 
 TEST(Message, OrdersHttpAndBytesAreNoMessages) {
   for (const char* line : {"", "update endpoints=s:1", "refused", "GET / HTTP/1.1", "Ping", "pin", "heardx az=a", "\x01\x02"})
-    (void)read<Unreadable>(line);
-  (void)read<Unreadable>(std::string("heard az=a \0host=s", 18));
+    (void)read<ProtocolError>(line);
+  (void)read<ProtocolError>(std::string("heard az=a \0host=s", 18));
 }
 
 TEST(Message, PartsThatCanNotBecomeAMessageAreHopelessAtOnce) {
