Shut down in order, give pending connections what descriptors are left, refuse unknown settings

Found by reading; each forced on real sockets. 1. SIGTERM stopped the loop at once: connections in the listen queue and those with unread input were reset, and queued bytes lost (Service::stop, Gate::~Gate). Now, within 0.3 s: the queue is accepted, what has come is read and answered, whoever has not joined is refused, streams are flushed and ended on our side; exit 0 when the peers have gone or the time is over. Pending connections now have what is not in use, 512 at most and 8 at least; a join beyond the last places is told 'no room', unless it succeeds a stream of the same proxy, and discovery's descriptors stay free. 3. Settings of an unknown kind (discovery, key ranges, owners, names twice, more zones, operations or proxies than ids hold) passed as defaults; they are errors at the start. SIGHUP names what needs a restart.

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -34,12 +34,15 @@
   return net::monotonic_now() - Span::micros(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
-// How many pending may be here at a time: what the fleet's own connections leave of the descriptors.
-std::size_t room_for_pending(const CoordinatorConfig& c) {
-  constexpr std::size_t own = 24;  // epoll, signals, the listener, logs, discovery's calls, and some to spare
-  const std::size_t kept = own + static_cast<std::size_t>(c.settings.proxies) + 3 * c.labels.zones.size();
-  return c.sockets > kept + 8 ? std::min<std::size_t>(c.sockets - kept, 512) : 8;
+const Span kShutDownWithin = Span::seconds(0.3);  // the platform kills after 0.7 s
+
+// Descriptors for the connections that come to the gate; the rest is for epoll, signals, the listener and its
+// reserve, logs, and discovery's calls, which must stand however many proxies come.
+std::size_t descriptors_for_peers(const CoordinatorConfig& c) {
+  constexpr std::size_t own = 24;
+  return c.sockets > 2 * own ? c.sockets - own : own;
 }
+constexpr std::size_t kPendingMost = 512;
 
 std::string listed(const std::map<std::string, std::uint64_t>& counts) {
   std::string text;
@@ -55,7 +58,7 @@
         instance_{config_.settings, config_.labels, config_.seed, unix_zero()},
         watch_{loop_, config_.discovery, {}, config_.seed,
                {[this](discovery::Listing list) { take(list); }, [this](const std::string& why) { lost(why); }}},
-        gate_{loop_, config_.listen, {room_for_pending(config_)}, callbacks()} {
+        gate_{loop_, config_.listen, {descriptors_for_peers(config_), kPendingMost}, callbacks()} {
     loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
     loop_.on_signal(SIGINT, [this] { stop("SIGINT"); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -67,7 +70,7 @@
     step();
     log_.event(log::Level::info, "started",
                {{"name", config_.name}, {"listen", config_.listen.text()}, {"discovery", config_.discovery.text()},
-                {"known", std::to_string(config_.known ? config_.known->rows.size() : 0)}, {"pending_most", std::to_string(room_for_pending(config_))}});
+                {"known", std::to_string(config_.known ? config_.known->rows.size() : 0)}, {"peers_most", std::to_string(descriptors_for_peers(config_))}});
     log_state_later();
   }
   void run() { loop_.run(); }
@@ -75,6 +78,8 @@
  private:
   streams::Gate::Callbacks callbacks() {
     return {[this](streams::StreamId id, const streams::Joined& m) {
+              // Every proxy may come to one coordinator; who finds no place is told, and dials another.
+              if (gate_.full() && !instance_.joined(m.proxy)) return streams::Instance::JoinResult{"no room", {}};
               schedule();
               return instance_.join(id, m);
             },
@@ -98,6 +103,7 @@
 
   void lost(const std::string& why) {
     log_.event(log::Level::warning, "watch_lost", {{"why", why}, {"version", std::to_string(watch_.version())}});
+    if (stopping_) return;
     if (config_.settings.ask_for_list) {  // the module says when to ask again
       instance_.list_failed();
       schedule();
@@ -114,6 +120,7 @@
 
   void step() {
     scheduled_ = false;
+    if (stopping_) return;
     const Instant begun = net::monotonic_now();
     const auto effects = instance_.step(begun);
     const Instant decided = net::monotonic_now();
@@ -130,6 +137,7 @@
   }
 
   void reload() {
+    if (stopping_) return;
     CoordinatorConfig fresh;
     try {
       fresh = read_coordinator_config(environment);
@@ -137,17 +145,22 @@
       log_.event(log::Level::error, "reload_refused", {{"why", fault.what()}});
       return;
     }
-    const bool others = fresh.settings_text != config_.settings_text || fresh.listen != config_.listen;
-    log_.event(log::Level::info, "reloaded",
-               {{"discovery", fresh.discovery.text()}, {"needs_a_restart", others ? "settings or address to listen at" : ""}});
+    std::string others;  // what only a restart takes over
+    const auto changed = [&](bool is, const char* what) { others += is ? (others.empty() ? "" : ", ") + std::string{what} : ""; };
+    changed(fresh.settings_text != config_.settings_text, "settings");
+    changed(fresh.listen != config_.listen, "listen");
+    changed(fresh.sockets != config_.sockets, "limits.sockets");
+    log_.event(log::Level::info, "reloaded", {{"discovery", fresh.discovery.text()}, {"needs_a_restart", others}});
     config_.discovery = fresh.discovery;
     watch_.set_endpoint(fresh.discovery);
   }
 
+  // Whoever can be answered in the time that a stop may take is answered; nothing is decided any more.
   void stop(const char* why) {
+    if (std::exchange(stopping_, true)) return;
     log_state();
     log_.event(log::Level::info, "stopping", {{"why", why}});
-    loop_.stop();
+    gate_.shut_down(kShutDownWithin, [this] { loop_.stop(); });
   }
 
   void log_state_later() {
@@ -204,7 +217,7 @@
   discovery::Watch watch_;
   streams::Gate gate_;
   net::Loop::Timer wake_;
-  bool scheduled_ = false;
+  bool scheduled_ = false, stopping_ = false;
   std::optional<Instant> list_at_;
   std::uint64_t lines_out_ = 0, steps_ = 0;
   Span longest_step_, longest_decision_;
@@ -212,14 +225,15 @@
 
 }  // namespace
 
-int coordinator() {
-  // Before all else, so that neither can end the program before its handler stands: what comes now waits.
+void hold_signals() {
   sigset_t held;
   sigemptyset(&held);
   for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held, signal);
   sigprocmask(SIG_BLOCK, &held, nullptr);
   std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may go
+}
 
+int coordinator() {
   CoordinatorConfig config;
   try {
     config = read_coordinator_config(environment);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,8 @@
 // The program `gorsemount`: subcommands and exit codes.
 #include <CLI/CLI.hpp>
 
+#include <string_view>
+
 #ifdef GORSEMOUNT_ALL_COMMANDS
 #include "app/commands.hpp"
 #endif
@@ -9,6 +11,7 @@
 
 int main(int argc, char** argv) {
   using namespace gorsemount::app;
+  if (argc > 1 && std::string_view{argv[1]} == "coordinator") hold_signals();
   CLI::App app{"gorsemount tells forwarders and DNS clients where work goes", "gorsemount"};
   app.require_subcommand(1);
   int code = kWell;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -371,10 +371,22 @@
 void Listener::start(OnAccept on_accept) {
   on_accept_ = std::move(on_accept);
   reserve_ = Fd{::open("/dev/null", O_RDONLY | O_CLOEXEC)};
-  loop_.watch(fd_.get(), EPOLLIN, [this](std::uint32_t) { accept_some(); });
+  loop_.watch(fd_.get(), EPOLLIN, [this](std::uint32_t) { work(); });
+}
+
+void Listener::work() {
+  const auto alive = alive_;
+  if (accept_some() && *alive)
+    loop_.soon([this, alive] {  // a flood gets its turn and no more
+      if (*alive) work();
+    });
+}
+
+void Listener::accept_all() {
+  for (int n = 0; n < kQueue / kAccepts && accept_some(); ++n) {}
 }
 
-void Listener::accept_some() {
+bool Listener::accept_some() {
   const auto alive = alive_;
   for (int n = 0; n < kAccepts && *alive; ++n) {
     sockaddr_storage from{};
@@ -388,15 +400,12 @@
       const bool none = !turned_away;
       turned_away.reset();
       reserve_ = Fd{::open("/dev/null", O_RDONLY | O_CLOEXEC)};
-      if (none) return;
+      if (none) return false;
     } else if (errno != EINTR && errno != ECONNABORTED) {
-      return;
+      return false;
     }
   }
-  if (!*alive) return;
-  loop_.soon([this, alive] {  // a flood gets its turn and no more
-    if (*alive) accept_some();
-  });
+  return *alive;
 }
 
 Listener::~Listener() {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -111,11 +111,12 @@
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
+  void accept_all();  // whoever waits now, before it closes: those would be reset
 
  private:
   void start(OnAccept on_accept);
-
-  void accept_some();
+  void work();
+  bool accept_some();  // true: there may be more
 
   Loop& loop_;
   Fd fd_, reserve_;
--- a/src/settings_json/settings.cpp
+++ b/src/settings_json/settings.cpp
@@ -1,12 +1,24 @@
 #include "settings_json/settings.hpp"
 
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace gorsemount {
 
 namespace {
 
 constexpr std::uint64_t kCountMost = 0x7fffffffU;
+// What ids and the module's numbers of tables leave room for.
+constexpr std::size_t kZonesMost = 64, kOperationsMost = 255;
+constexpr std::uint64_t kProxiesMost = 65536;
+
+void check_names(const Fields& config, const char* key, const std::vector<std::string>& names, std::size_t most) {
+  if (names.empty()) config.fail(key, "is empty");
+  if (names.size() > most) config.fail(key, "holds more than " + std::to_string(most));
+  if (const std::set<std::string> once{names.begin(), names.end()}; once.size() < names.size()) config.fail(key, "holds a name twice");
+}
 
 Operation read_operation(const Fields& f) {
   Operation op;
@@ -42,7 +54,12 @@
     family.fail("level-kind", "is not known: " + kind);
   }
   s.usual_tries = static_cast<FurtherTries>(family.whole("usual-how", 3));
-  s.ask_for_list = config.text("discovery") == "subscribe";
+  const auto discovery = config.text("discovery");
+  if (discovery != "subscribe" && discovery != "automatic") config.fail("discovery", "is not known: " + discovery);
+  s.ask_for_list = discovery == "subscribe";
+  // What the module can't do must not look as if it were done.
+  if (family.has("ranges") && family.whole("ranges", kCountMost) > 0) family.fail("ranges", "is above 0: key ranges are not supported");
+  if (family.maybe_flag("one-owner").value_or(false)) family.fail("one-owner", "is true: owners of key ranges are not supported");
   s.report_every = family.span("report-every-s");
   s.intake = family.number("intake-per-s");
   s.backlog = family.number("backlog");
@@ -50,8 +67,9 @@
   s.per_message = family.number("per-message");
   s.messages_most = static_cast<int>(family.whole("messages-most", kCountMost));
   s.messages_window = family.span("update-window-s");
-  s.proxies = family.number("proxies");
+  s.proxies = static_cast<double>(family.whole("proxies", kProxiesMost));
   s.coordinators = config.number("fleet-size");
+  if (s.coordinators < 1) config.fail("fleet-size", "is below 1");
   s.keepalive = config.object("limits").span("keepalive-s");
   const Fields rules = config.object("rules");
   if (s.ask_for_list) s.ask_within = rules.span("ask-within-s");
@@ -73,6 +91,8 @@
   const Json& lanes = config.array("lanes");
   for (std::size_t k = 0; k < lanes.size(); ++k)
     labels.operations.push_back(Fields{lanes[k], "settings.lanes[" + std::to_string(k) + "]"}.text("name"));
+  check_names(config, "zones", labels.zones, kZonesMost);
+  check_names(config, "lanes", labels.operations, kOperationsMost);
   return labels;
 }
 
--- a/src/streams/gate.cpp
+++ b/src/streams/gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace gorsemount::streams {
 
@@ -26,9 +27,50 @@
 
 Gate::~Gate() {
   listener_.reset();
+  loop_.cancel(end_);
   for (auto& [id, peer] : peers_) loop_.cancel(peer.deadline);
 }
 
+std::size_t Gate::room() const {
+  const std::size_t left = limits_.peers > joined() ? limits_.peers - joined() : 0;
+  return std::clamp(left, kPendingLeast, std::max(limits_.pending, kPendingLeast));
+}
+
+void Gate::shut_down(Span within, std::function<void()> done) {
+  if (std::exchange(shutting_down_, true)) return;
+  done_ = std::move(done);
+  end_ = loop_.after(within, [this] {
+    while (!peers_.empty()) drop(peers_.begin()->first);
+    finish();
+  });
+  listener_->accept_all();  // the kernel resets whoever still waits there when it closes
+  listener_.reset();
+  std::vector<StreamId> all;
+  for (const auto& [id, peer] : peers_) all.push_back(id);
+  for (const StreamId id : all) close_peer(id);
+  if (peers_.empty()) finish();
+}
+
+void Gate::finish() {
+  loop_.cancel(end_);
+  if (const auto done = std::exchange(done_, {})) done();
+}
+
+// Reads what has come, since a close with input unread is a reset that eats what was written; then ends its own side.
+void Gate::close_peer(StreamId id) {
+  const auto find = [&] { return peers_.find(id); };
+  auto it = find();
+  if (it == peers_.end()) return;
+  const auto connection = it->second.connection;
+  connection->read_now();
+  if (it = find(); it == peers_.end() || it->second.role == Role::closing) return;
+  if (it->second.role == Role::pending) return refuse(id, "shutting down");
+  if (it->second.role == Role::collector) std::erase(collectors_[it->second.zone], id);
+  it->second.role = Role::closing;
+  pending_.insert(id);
+  connection->half_close();
+}
+
 void Gate::accept(net::Fd fd) {
   make_room();
   ++counts_.accepted;
@@ -46,7 +88,7 @@
 }
 
 void Gate::make_room() {
-  while (pending_.size() >= limits_.pending) {
+  while (pending_.size() >= room()) {
     const auto first = [&](auto&& is) { return std::find_if(pending_.begin(), pending_.end(), is); };
     auto it = first([&](StreamId id) { return peers_.at(id).role == Role::closing; });
     if (it == pending_.end()) it = first([&](StreamId id) { return !peers_.at(id).hopeful; });
@@ -97,6 +139,7 @@
     return pending ? refuse(id, "a message that lacks what it must have") : malformed(bad->kind, bad->field);
   if (const auto* joined = std::get_if<Joined>(&m)) {
     if (!pending) return malformed("joined", "joined already");
+    if (shutting_down_) return refuse(id, "shutting down");
     const auto result = callbacks_.joined(id, *joined);
     if (result.refused != nullptr) return refuse(id, result.refused);
     if (result.succeeds) end(*result.succeeds);
@@ -105,6 +148,7 @@
   }
   if (const auto* collector = std::get_if<Collector>(&m)) {
     if (!pending) return malformed("collector", "joined already");
+    if (shutting_down_) return refuse(id, "shutting down");
     if (const char* why = callbacks_.collector(*collector)) return refuse(id, why);
     peer.zone = collector->zone;
     auto& same = collectors_[peer.zone];
@@ -168,6 +212,7 @@
   const auto connection = std::move(it->second.connection);
   peers_.erase(it);
   if (connection) connection->close("done");
+  if (shutting_down_ && peers_.empty()) finish();
 }
 
 void Gate::send(StreamId stream, std::string_view bytes) {
--- a/src/streams/gate.hpp
+++ b/src/streams/gate.hpp
@@ -19,7 +19,8 @@
 class Gate {
  public:
   struct Limits {
-    std::size_t pending = 64;               // held at a time; beyond, the oldest goes
+    std::size_t peers = 1024;                 // connections of all kinds: what the descriptors allow
+    std::size_t pending = 64;                 // of them not yet joined, at most; beyond, the oldest goes
     Span joins_within = Span::seconds(1.2);   // a second is owed, and something for a busy moment
     std::size_t half_message = 4096;          // of a pending connection: no join is longer
     std::size_t unread = 128U << 10U;         // what a peer may leave unread, as on the platform
@@ -43,6 +44,12 @@
   Gate(const Gate&) = delete;
   Gate& operator=(const Gate&) = delete;
 
+  // Ends in order: takes no more connections, answers what has come, refuses whoever has not joined, writes what
+  // waits, and closes each side when its peer has, or when `within` is over. Then calls `done`, once.
+  void shut_down(Span within, std::function<void()> done);
+  // Whoever joins now would take the last places; those are for pending connections and for successors.
+  [[nodiscard]] bool full() const { return joined() + kPendingLeast >= limits_.peers; }
+
   void send(StreamId stream, std::string_view bytes);
   void end(StreamId stream);  // another has succeeded it; the callbacks is not told
   [[nodiscard]] const Counts& counts() const { return counts_; }
@@ -50,6 +57,7 @@
   [[nodiscard]] std::size_t peers() const { return peers_.size(); }
 
  private:
+  static constexpr std::size_t kPendingLeast = 8;
   enum class Role { pending, closing, stream, collector };
   struct Peer {
     Role role = Role::pending;
@@ -69,6 +77,10 @@
   void closed(StreamId id, const char* why);
   void drop(StreamId id);
   void make_room();
+  void close_peer(StreamId id);
+  void finish();
+  [[nodiscard]] std::size_t joined() const { return peers_.size() - pending_.size(); }
+  [[nodiscard]] std::size_t room() const;  // for pending connections, as things stand
 
   net::Loop& loop_;
   Limits limits_;
@@ -77,6 +89,9 @@
   std::set<StreamId> pending_;  // and those that leave; oldest first
   std::map<std::string, std::vector<StreamId>> collectors_;  // by zone, oldest first
   StreamId last_ = 0;
+  bool shutting_down_ = false;
+  std::function<void()> done_;
+  net::Loop::Timer end_;
   Counts counts_;
   std::unique_ptr<net::Listener> listener_;
 };
--- a/src/streams/instance.hpp
+++ b/src/streams/instance.hpp
@@ -49,6 +49,7 @@
   void list_failed() { pending_.emplace_back(Listed{ListScope::failed, {}}); }
   [[nodiscard]] JoinResult join(StreamId stream, const Joined& message);
   void left(StreamId stream);
+  [[nodiscard]] bool joined(std::uint16_t proxy) const { return proxies_on_.contains(ProxyId{proxy}); }
   [[nodiscard]] std::optional<ZoneId> zone(const std::string& name) const;
   // What a stream (or, without one, a collector) reports. Returns why it is skipped; null: it was taken.
   [[nodiscard]] const char* report(Instant now, std::optional<StreamId> from, const Message& message);
--- a/tests/app/coordinator_process_test.cpp
+++ b/tests/app/coordinator_process_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <atomic>
@@ -13,6 +14,7 @@
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <vector>
 
 #include "app/coordinator_config.hpp"
 #include "net/loop.hpp"
@@ -79,6 +81,16 @@
   EXPECT_EQ(fault(good, R"("share":1.0)", R"("share":"x")"), "config.known.hosts[0]: 'share' is not a number");
   EXPECT_EQ(fault(good, R"("lanes")", R"("lines")"), "config.settings: 'lanes' is missing");
   EXPECT_NE(fault(good, "}", ""), "none");
+  // Kinds that are not supported are named, not taken for a default.
+  EXPECT_EQ(fault(good, R"("discovery":"subscribe")", R"("discovery":"hourly")"), "config.settings: 'discovery' is not known: hourly");
+  EXPECT_EQ(fault(good, R"("level-kind":"rate")", R"("level-kind":"turns")"), "config.settings.family-info: 'level-kind' is not known: turns");
+  EXPECT_EQ(fault(good, R"("proxies":1,)", R"("proxies":1,"ranges":12,)"), "config.settings.family-info: 'ranges' is above 0: key ranges are not supported");
+  EXPECT_EQ(fault(good, R"("proxies":1,)", R"("proxies":1,"one-owner":true,)"),
+            "config.settings.family-info: 'one-owner' is true: owners of key ranges are not supported");
+  EXPECT_EQ(fault(good, R"("proxies":1,)", R"("proxies":70000,)"), "config.settings.family-info: 'proxies' is above 65536");
+  EXPECT_EQ(fault(good, R"("fleet-size":1)", R"("fleet-size":0)"), "config.settings: 'fleet-size' is below 1");
+  EXPECT_EQ(fault(good, R"("zones":["a"])", R"("zones":["a","b","a"])"), "config.settings: 'zones' holds a name twice");
+  EXPECT_EQ(fault(good, R"("zones":["a"])", R"("zones":[])"), "config.settings: 'zones' is empty");
 }
 
 // ---- The process ------------------------------------------------------------------------------------------
@@ -170,8 +182,8 @@
   }
   void send(const std::string& text) { (void)!::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL); }
   // Waits until `text` has come, 4 s at most.
-  bool sees(const std::string& text) {
-    const auto end = std::chrono::steady_clock::now() + 4s;
+  bool sees(const std::string& text, std::chrono::seconds most = 4s) {
+    const auto end = std::chrono::steady_clock::now() + most;
     while (got_.find(text) == std::string::npos && std::chrono::steady_clock::now() < end) {
       pollfd p{fd_.get(), POLLIN, 0};
       char part[4096];
@@ -184,6 +196,13 @@
     return got_.find(text) != std::string::npos;
   }
   bool ended() const { return ended_; }
+  bool ends_in_order() {  // an end, not a reset
+    pollfd p{fd_.get(), POLLIN, 0};
+    char part[4096];
+    ssize_t n = 1;
+    while (n > 0 && ::poll(&p, 1, 2000) > 0) n = ::recv(fd_.get(), part, sizeof part, 0);
+    return n == 0;
+  }
 
  private:
   net::Fd fd_;
@@ -249,6 +268,82 @@
   EXPECT_LT(std::chrono::steady_clock::now() - before, 600ms);
 }
 
+// The file is a pipe: whoever has it open for writing knows that the process is reading it, before its first turn.
+TEST_F(CoordinatorProcess, SigtermBeforeTheFirstTurnEndsItWell) {
+  for (const std::vector<int>& signals : {std::vector{SIGTERM}, std::vector{SIGHUP, SIGTERM}, std::vector{SIGTERM, SIGTERM, SIGINT, SIGHUP}}) {
+    ASSERT_EQ(::mkfifo(file.c_str(), 0600), 0);
+    Process p{file};
+    const net::Fd pipe{::open(file.c_str(), O_WRONLY | O_CLOEXEC)};
+    const auto text = config("127.7.7.11:17032");
+    write(text);  // what SIGHUP finds
+    for (const int signal : signals) p.signal(signal);
+    ASSERT_EQ(::write(pipe.get(), text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    const_cast<net::Fd&>(pipe).reset();
+    EXPECT_EQ(p.wait(), 0);
+    fs::remove(file);
+  }
+}
+
+// It is stopped while all this comes, so that it wakes to the signal and to everything else in one turn.
+TEST_F(CoordinatorProcess, SigtermAmidEverythingAnswersWhoWaits) {
+  Discovery discovery{"127.7.7.11:17032", whole(2, row("s-1"))};
+  auto text = config("127.7.7.11:17032");
+  text.replace(text.find("\"proxies\":1,"), 12, "\"proxies\":2,");
+  write(text);
+  Process p{file};
+  Stream stream, half;
+  stream.send("joined sidecar=0 az=a share=5 standing=1\r\n");
+  ASSERT_TRUE(stream.sees("s-1:"));
+  half.send("ping\r\njoined side");
+  ASSERT_TRUE(half.sees("pong\r\n"));
+  p.signal(SIGSTOP);
+  stream.send("usage sidecar=0 kind=lookup n=4 bad=0 window=1\r\nping\r\n");
+  Stream asks, joins, silent;  // in the kernel's queue
+  asks.send("ping\r\n");
+  joins.send("joined sidecar=1 az=a share=5 standing=1\r\n");
+  write(config("127.7.7.11:17033"));  // where nobody listens: a dial is under way too
+  p.signal(SIGHUP);
+  p.signal(SIGTERM);
+  const auto before = std::chrono::steady_clock::now();
+  p.signal(SIGCONT);
+  EXPECT_TRUE(stream.sees("pong\r\n"));
+  EXPECT_TRUE(asks.sees("pong\r\nrefused"));
+  for (Stream* s : {&half, &silent}) EXPECT_TRUE(s->sees("refused reason=shutting-down\r\n"));
+  // Which of the descriptors that are ready comes first is the kernel's: it may have joined before the signal is read.
+  for (Stream* s : {&stream, &asks, &half, &joins, &silent}) EXPECT_TRUE(s->ends_in_order());
+  EXPECT_EQ(p.wait(), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - before, 600ms);
+}
+
+TEST_F(CoordinatorProcess, AFleetBeyondTheDescriptorsIsTakenInAsFarAsTheyGoAndTheRestIsTold) {
+  Discovery discovery{"127.7.7.11:17032", whole(2, row("s-1"))};
+  auto text = config("127.7.7.11:17032");
+  const auto replace = [&](const std::string& from, const std::string& to) { text.replace(text.find(from), from.size(), to); };
+  replace("\"proxies\":1,", "\"proxies\":2400,");
+  replace("\"sockets\":256", "\"sockets\":64");
+  write(text);
+  Process p{file};
+  std::vector<std::unique_ptr<Stream>> herd;
+  for (int k = 0; k < 30; ++k) {
+    herd.push_back(std::make_unique<Stream>());
+    herd.back()->send("ping\r\njoined sidecar=" + std::to_string(k));
+    ASSERT_TRUE(herd.back()->sees("pong\r\n"));
+  }
+  for (const auto& s : herd) s->send(" az=a share=5 standing=1\r\n");
+  for (const auto& s : herd) EXPECT_TRUE(s->sees("full=1"));
+  int told = 0;
+  for (int k = 30; k < 50; ++k) {
+    herd.push_back(std::make_unique<Stream>());
+    Stream& late = *herd.back();
+    late.send("joined sidecar=" + std::to_string(k) + " az=a share=5 standing=1\r\n");
+    ASSERT_TRUE(late.sees("\r\n"));
+    told += late.sees("refused reason=no-room\r\n", 0s) ? 1 : 0;
+  }
+  EXPECT_EQ(told, 18);  // 40 places, of which 8 are kept for who has not joined: 32 streams
+  herd.resize(30);
+  for (const auto& s : herd) EXPECT_FALSE(s->ended());
+}
+
 TEST_F(CoordinatorProcess, AKilledOneStartsAgainFromNothing) {
   Discovery discovery{"127.7.7.11:17032", whole(2, row("s-1"))};
   write(config("127.7.7.11:17032"));
--- a/tests/streams/gate_test.cpp
+++ b/tests/streams/gate_test.cpp
@@ -31,15 +31,17 @@
     ssize_t n = 0;
     while ((n = ::recv(fd_.get(), part, sizeof part, MSG_DONTWAIT)) > 0) got_.append(part, static_cast<std::size_t>(n));
     if (n == 0 || (n < 0 && errno != EAGAIN)) closed_ = true;
+    if (n < 0 && errno == ECONNRESET) reset_ = true;
     return got_;
   }
+  bool reset() { return read(), reset_; }
   bool closed() { return read(), closed_; }
   void hang_up() { fd_.reset(); }
 
  private:
   net::Fd fd_;
   std::string got_;
-  bool closed_ = false;
+  bool closed_ = false, reset_ = false;
 };
 
 struct Rig {
@@ -188,6 +190,99 @@
   EXPECT_EQ(r.gate->peers(), 30U);
 }
 
+// All have connected and sent the first half before any sends the second: who joins needs a place meanwhile.
+TEST(Gate, AHerdWhoseJoinsComeInPiecesIsTakenInWhereDescriptorsAllowIt) {
+  Gate::Limits limits;
+  limits.peers = 100, limits.pending = 80;
+  Rig r{limits};
+  std::list<Client> early, herd;
+  for (int k = 0; k < 20; ++k) early.emplace_back(joined(k));
+  r.run();
+  for (int k = 20; k < 80; ++k) herd.emplace_back(joined(k).substr(0, 20));
+  r.run();
+  EXPECT_EQ(r.gate->pending(), 60U);
+  int k = 20;
+  for (auto& c : herd) c.send(joined(k++).substr(20));
+  r.run();
+  EXPECT_EQ(r.on.size(), 80U);
+  for (auto& c : early) EXPECT_FALSE(c.closed());
+}
+
+TEST(Gate, WhoIsTooManyIsToldAndNoJoinedStreamLosesItsPlace) {
+  Gate::Limits limits;
+  limits.peers = 30, limits.pending = 30;
+  Rig r{limits};
+  std::list<Client> streams, flood;
+  for (int k = 0; k < 22; ++k) streams.emplace_back(joined(k));
+  r.run();
+  EXPECT_TRUE(r.gate->full());
+  for (int k = 0; k < 60; ++k) flood.emplace_back("joined side");
+  r.run();
+  EXPECT_EQ(r.gate->pending(), 8U);
+  int told = 0;
+  for (auto& c : flood) told += c.read().find("refused reason=no-room") == 0 ? 1 : 0;
+  EXPECT_EQ(told, 52);
+  for (auto& c : streams) EXPECT_FALSE(c.closed());
+  EXPECT_TRUE(r.left.empty());
+}
+
+// What comes with the end: unread bytes on every kind of connection, and some that are not accepted yet.
+TEST(Gate, ShuttingDownItAnswersAllThatHasComeAndClosesInOrder) {
+  Rig r;
+  Client stream{joined(1)}, collector{"collector az=a\r\n"}, half;
+  r.run();
+  half.send("joined sid");
+  r.run();
+  r.gate->send(r.on[1], "update full=1\r\n");
+  // From here on nothing is read before shut_down: no turn of the loop comes between.
+  stream.send("usage sidecar=1 kind=x n=4 bad=0 window=1\r\nping\r\n");
+  collector.send("heard az=a host=s n=1 bad=0 avg=1 window=9\r\n");
+  Client asks{"ping\r\n"}, joins{joined(2)}, silent, garbage{std::string(3000, 'x')};
+  bool done = false;
+  Instant ended;
+  const Instant begun = r.loop.now();
+  r.gate->shut_down(Span::seconds(0.3), [&] {
+    done = true, ended = net::monotonic_now();
+    r.loop.stop();
+  });
+  r.gate->shut_down(Span::seconds(0.3), [&] { ADD_FAILURE() << "twice"; });
+  r.loop.after(Span::seconds(2), [&] { r.loop.stop(); });
+  r.loop.run();
+  EXPECT_TRUE(done);
+  EXPECT_LT((ended - begun).seconds(), 0.45);
+  EXPECT_EQ(r.arrived, 4);
+  EXPECT_EQ(r.heard, 1);
+  EXPECT_FALSE(r.on.contains(2));
+  EXPECT_EQ(stream.read(), "update full=1\r\npong\r\n");
+  EXPECT_EQ(asks.read(), "pong\r\nrefused reason=shutting-down\r\n");
+  for (Client* c : {&half, &joins, &silent}) EXPECT_EQ(c->read(), "refused reason=shutting-down\r\n");
+  EXPECT_EQ(garbage.read().find("refused"), 0U);
+  for (Client* c : {&stream, &collector, &half, &asks, &joins, &silent, &garbage}) EXPECT_TRUE(c->closed() && !c->reset());
+}
+
+TEST(Gate, ShuttingDownItIsDoneAtOnceWhereAllPeersLeaveAndInTimeWhereOneDoesNotRead) {
+  {
+    Rig r;
+    Client stream{joined(1)};
+    r.run();
+    bool done = false;
+    r.gate->shut_down(Span::seconds(5), [&] { done = true, r.loop.stop(); });
+    stream.hang_up();
+    r.run(0.05);
+    EXPECT_TRUE(done);
+    EXPECT_TRUE(r.left.empty());  // nobody is told any more
+  }
+  Rig r;
+  Client deaf{joined(1)};
+  r.run();
+  const std::string much(60000, 'u');
+  for (int k = 0; k < 200 && r.gate->counts().bytes_out < (8U << 20U); ++k) r.gate->send(r.on[1], much);
+  bool done = false;
+  r.gate->shut_down(Span::seconds(0.1), [&] { done = true, r.loop.stop(); });
+  r.run(0.3);
+  EXPECT_TRUE(done);
+}
+
 TEST(Gate, AProxyThatDoesNotReadIsStillReadAndResetAtTheLimit) {
   Gate::Limits limits;
   limits.unread = 64U << 10U;
