--- a/tests/streams/instance_test.cpp
+++ b/tests/streams/instance_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "simhost/host.hpp"
@@ -216,6 +217,73 @@
   EXPECT_EQ(instance.believe().names, kBackends);
 }
 
+// Reports wait for each other and joins, ends and lists do not, so a report can reach the module after its proxy has
+// left or its backend is forgotten. Every order must name what was listed, and go to a stream that is joined.
+TEST(Instance, HandOversInAnyOrderNameNothingThatWasNotListed) {
+  for (const bool binds : {true, false}) {
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+      Json settings = config();
+      if (!binds) settings["rules"]["removal-not-binding"] = true;
+      Instance instance{read_settings(Fields{settings, "settings"}), read_labels(Fields{settings, "settings"}), seed, Instant{}};
+      std::mt19937 chance{seed};
+      const auto one_of = [&](unsigned n) { return static_cast<unsigned>(chance() % n); };
+      std::set<std::string> ever;
+      std::map<StreamId, std::uint16_t> on;
+      StreamId last = 0;
+      std::uint64_t version = 0;
+      unsigned born = 0;
+      double at = 1;
+      std::size_t sends = 0;
+      for (int turn = 0; turn < 3000; ++turn) {
+        at += 0.002 * one_of(20) + (one_of(100) == 0 ? 31 : 0);  // beyond what names are remembered for
+        const Instant now = Instant::at_seconds(at);
+        for (unsigned k = one_of(4); k > 0; --k) {
+          const auto proxy = static_cast<std::uint16_t>(one_of(8));
+          const std::string zone(1, static_cast<char>('a' + one_of(3)));
+          const std::string host = "h-" + std::to_string(one_of(2) == 0 ? one_of(born + 1) : born - std::min(born, one_of(6)));
+          switch (one_of(6)) {
+            case 0: {  // new backends, drains, losses, re-listings; now and then the whole list
+              discovery::Listing l{++version, one_of(12) == 0, {}};
+              for (unsigned n = 1 + one_of(4); n > 0; --n) {
+                const auto health = static_cast<discovery::Health>(one_of(3));
+                const std::string name = one_of(3) == 0 ? "h-" + std::to_string(++born) : host;
+                if (health != discovery::Health::gone) ever.insert(name);
+                l.rows.push_back({name, zone, health, 1, one_of(2) == 0 ? 0 : static_cast<std::int64_t>(1000 * at)});
+              }
+              (void)instance.listed(l);
+              break;
+            }
+            case 1: {
+              const auto join = instance.join(++last, {proxy, zone, 5, true});
+              if (join.succeeds) on.erase(*join.succeeds);
+              on[last] = proxy;
+              break;
+            }
+            case 2:
+              if (!on.empty()) instance.left(on.begin()->first), on.erase(on.begin());
+              break;
+            case 3:
+              (void)instance.report(now, {}, Heard{zone, host, 9, static_cast<int>(one_of(10)), Span::seconds(0.2), Span::seconds(2), 0.9});
+              break;
+            default:
+              if (!on.empty()) (void)instance.report(now, on.begin()->first, Usage{on.begin()->second, "order", 9, Span::seconds(2)});
+          }
+        }
+        if (one_of(3) == 0) continue;  // more may come before the turn's end
+        for (const auto& send : instance.step(now).sends) {
+          ++sends;
+          ASSERT_TRUE(on.contains(send.stream));
+          const auto& bytes = send.message->bytes;
+          for (auto place = bytes.find("h-"); place != std::string::npos; place = bytes.find("h-", place + 1))
+            ASSERT_TRUE(ever.contains(bytes.substr(place, bytes.find(':', place) - place)));
+        }
+        if (turn % 50 == 0) (void)instance.believe();
+      }
+      EXPECT_GT(sends, 100U);
+    }
+  }
+}
+
 // The same events through the bench's adapter and through an Instance leave the same tables at the proxies.
 TEST(Instance, OrdersTheSameTablesAsTheAdapter) {
   Rig r;
