--- a/tests/streams/gate_test.cpp
+++ b/tests/streams/gate_test.cpp
@@ -37,6 +37,11 @@
   bool reset() { return read(), reset_; }
   bool closed() { return read(), closed_; }
   void hang_up() { fd_.reset(); }
+  void hang_up_hard() {  // with a reset
+    const linger hard{1, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    fd_.reset();
+  }
 
  private:
   net::Fd fd_;
@@ -299,6 +304,24 @@
   EXPECT_EQ(r.gate->counts().not_reading, 1U);
 }
 
+// All of it happens before the loop's first turn, so that accept finds connections that are closed or reset already.
+TEST(Gate, ConnectionsThatAreGoneBeforeTheFirstReadLeaveNothingBehind) {
+  Rig r;
+  for (int k = 0; k < 60; ++k) {
+    Client c;
+    if (k % 3 == 1) c.send("joined sidecar=7 az=a");
+    if (k % 3 == 2) c.send(joined(7));
+    k % 2 == 0 ? c.hang_up() : c.hang_up_hard();
+  }
+  r.run();
+  EXPECT_EQ(r.gate->peers(), 0U);
+  EXPECT_EQ(r.gate->pending(), 0U);
+  Client later{joined(8)};
+  r.run();
+  EXPECT_TRUE(r.on.contains(8));
+  EXPECT_EQ(r.gate->peers(), 1U);
+}
+
 TEST(Gate, WithoutDescriptorsNobodyWaitsInTheQueueForEver) {
   Rig r;
   rlimit before{};
