--- a/src/streams/gate.cpp
+++ b/src/streams/gate.cpp
@@ -78,7 +78,7 @@
   Peer& peer = peers_[id];
   pending_.insert(id);
   peer.deadline = loop_.after(limits_.joins_within, [this, id] { refuse(id, "no join in time"); });
-  // A quiet stream is not a dead one, so nothing here closes for quiet; the deadline bounds pending.
+  // A quiet stream is not a dead one, so nothing here closes for quiet; the deadline bounds pending connections.
   peer.connection = net::Connection::make(
       loop_, std::move(fd), {limits_.half_message + (16U << 10U), limits_.unread, Span{}, true},
       [this, id](std::string_view bytes) { return data(id, bytes); }, [this, id](const char* why) { closed(id, why); });
--- a/src/streams/gate.hpp
+++ b/src/streams/gate.hpp
@@ -1,5 +1,6 @@
 // The coordinator's address: who connects is a pending connection until a valid join makes it a proxy's stream or a
-// collector. It reads lines, keeps pending within bounds of time, bytes and descriptors, and decides nothing else.
+// collector. It reads lines, keeps pending connections within bounds of time, bytes and descriptors, and decides nothing
+// else.
 #pragma once
 
 #include <array>
@@ -47,7 +48,7 @@
   // Ends in order: takes no more connections, answers what has come, refuses whoever has not joined, writes what
   // waits, and closes each side when its peer has, or when `within` is over. Then calls `done`, once.
   void shut_down(Span within, std::function<void()> done);
-  // Whoever joins now would take the last places; those are for pending connections and for successors.
+  // One more join would take the last places, which are for pending connections and for successors.
   [[nodiscard]] bool full() const { return joined() + kPendingLeast >= limits_.peers; }
 
   void send(StreamId stream, std::string_view bytes);
--- a/tests/discovery/watch_test.cpp
+++ b/tests/discovery/watch_test.cpp
@@ -122,7 +122,24 @@
   EXPECT_TRUE(r.watch->following());
   r.run(1.2);
   EXPECT_FALSE(r.watch->following());
-  EXPECT_EQ(r.failures.size(), 1U);
+  EXPECT_EQ(r.failures, std::vector<std::string>{"silent"});
+}
+
+// Nobody takes calls any more, and the watch that stands says nothing: it ends by itself, and its reason is told.
+TEST(Watch, ASilentOneWithNoOtherToBeHadEndsForSilence) {
+  Rig r;
+  Service s{r.loop, kAt};
+  s.answer = [](net::Connection& c) { c.send(Service::head() + Service::chunk(list(1, true, "") + "\n")); };
+  r.watch->subscribe();
+  r.run(0.05);
+  const auto old = s.connection;
+  s.listener.reset();
+  r.run(0.5);
+  EXPECT_TRUE(r.watch->following());
+  EXPECT_TRUE(r.failures.empty());
+  r.run(0.25);
+  EXPECT_FALSE(r.watch->following());
+  EXPECT_EQ(r.failures, std::vector<std::string>{"silent"});
 }
 
 TEST(Watch, WhileItIsSilentAnotherIsAskedForAndTheOldOnesLinesStillCount) {
--- a/tests/streams/instance_test.cpp
+++ b/tests/streams/instance_test.cpp
@@ -255,7 +255,7 @@
             }
             case 1: {
               const auto join = instance.join(++last, {proxy, zone, 5, true});
-              if (join.succeeds) on.erase(*join.succeeds);
+              if (join.succeeds) on.erase(*join.succeeds), instance.left(*join.succeeds);  // its end is seen after all
               on[last] = proxy;
               break;
             }
@@ -269,6 +269,7 @@
               if (!on.empty()) (void)instance.report(now, on.begin()->first, Usage{on.begin()->second, "order", 9, Span::seconds(2)});
           }
         }
+        for (const auto& [stream, proxy] : on) ASSERT_TRUE(instance.joined(proxy));
         if (one_of(3) == 0) continue;  // more may come before the turn's end
         for (const auto& send : instance.step(now).sends) {
           ++sends;
