--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -384,6 +384,7 @@
   double first_answer = 0;                // when the coordinator first gave its sign of life
   double last_pong = 0, longest_silence = 0;  // of the pings that are sent every half second
   std::function<void(Proxy&, const std::string& host)> on_request;  // a try is sent
+  std::function<void(const std::string& host, bool ok)> on_answer;  // a try has ended
   std::function<void()> on_tick;                                    // every 50 ms
   std::uint64_t sent = 0, answered = 0, failed = 0, refused = 0;
 
@@ -650,6 +651,7 @@
     Proxy& p = *o.proxy;
     Sum& sum = sums_[{p.zone, o.host}];
     ++sum.tries;
+    if (on_answer) on_answer(o.host, o.ok);
     record.line("request %llu: %s", static_cast<unsigned long long>(o.number), o.ok ? "run and answered" : "no good answer");
     if (o.ok) {
       ++answered, sum.latency += o.at - o.began, p.failures[o.host] = 0;
