--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -512,6 +512,9 @@
     }
   }
 
+  // When the current period of the reports ends.
+  double period_end() const { return next_report_; }
+
   // A line that the proxy may pick for the class, whether it avoids the backend for now or not.
   bool has_line(const Proxy& p, const ClassSettings& c) const {
     for (const auto& [host, weight] : p.table)
