Review: one folder a case, TROUBLE read in each, and a clean end when interrupted

Cause: the shared script stood in a folder like a case's, and run.sh left its child running for up to 115 s when it was ended by a signal. Added: each run.sh is replaced by its case's program, which has a time limit of 110 s, removes its folder and ends the coordinator at its own end.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // Case 1: a collector's connection continues with a message that can't be read; then a backend drains.
-#include "../standin/platform.hpp"
-#include "../standin/settings.hpp"
+#include "../platform.hpp"
+#include "../settings.hpp"
 
 using namespace standin;
 
@@ -21,7 +21,8 @@
 }  // namespace
 
 int main() {
-  Platform platform{std::string{std::getenv("CASE_RECORD") == nullptr ? "record.txt" : std::getenv("CASE_RECORD")}, 11};
+  const char* value = std::getenv("TROUBLE");
+  Platform platform{value == nullptr || std::string{value} != "0", 11};
   platform.zones = {"kariakoo", "mikocheni", "ubungo"};
   platform.classes = {{"refill-check", 0.48, false, 2.0}, {"stock-lookup", 0.28, false, 1.5}, {"place-order", 0.24, false, 1.5}};
   for (int k = 0; k < 15; ++k) {
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,12 +1,13 @@
 // Case 2: a class keeps to the proxy's zone, and the fleet shrinks: one backend of each zone drains and goes.
-#include "../standin/bare.hpp"
-#include "../standin/platform.hpp"
-#include "../standin/settings.hpp"
+#include "../bare.hpp"
+#include "../platform.hpp"
+#include "../settings.hpp"
 
 using namespace standin;
 
 int main() {
-  Platform platform{std::string{std::getenv("CASE_RECORD") == nullptr ? "record.txt" : std::getenv("CASE_RECORD")}, 13};
+  const char* value = std::getenv("TROUBLE");
+  Platform platform{value == nullptr || std::string{value} != "0", 13};
   for (int k = 0; k < 10; ++k) platform.zones.push_back("zone-" + std::string(1, static_cast<char>('a' + k)));
   platform.classes = {{"refill-check", 0.48, false, 2.0}, {"stock-lookup", 0.28, true, 1.5}, {"place-order", 0.24, false, 1.5}};
   const ClassSettings& kept = platform.classes[1];
--- a/review/standin/platform.hpp
+++ b/review/platform.hpp
@@ -18,12 +18,15 @@
 #include <algorithm>
 #include <cerrno>
 #include <cmath>
+#include <csignal>
 #include <cstdarg>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <exception>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -32,6 +35,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -48,6 +52,37 @@
 }
 inline std::int64_t unix_ms() { return static_cast<std::int64_t>(clock_seconds(CLOCK_REALTIME) * 1000); }
 
+// What has to be undone however the case ends: the coordinator's process and the temporary folder.
+struct Cleanup {
+  static inline volatile sig_atomic_t interrupted = 0;
+  static inline pid_t coordinator = -1;
+  static inline char folder[64] = "";
+
+  static void run() {
+    if (coordinator > 0) kill(coordinator, SIGKILL), waitpid(coordinator, nullptr, 0);
+    coordinator = -1;
+    if (folder[0] == '\0') return;
+    std::error_code ignored;
+    std::filesystem::remove_all(folder, ignored);
+    folder[0] = '\0';
+  }
+  // Signals, and the end of the time for a case, let it end as one that couldn't run.
+  static void install() {
+    std::atexit(run);
+    std::set_terminate([] {
+      run();
+      _exit(2);
+    });
+    for (const int signal : {SIGINT, SIGTERM, SIGHUP, SIGALRM}) {
+      struct sigaction action {};
+      action.sa_handler = [](int number) { interrupted = number; };
+      sigaction(signal, &action, nullptr);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    alarm(110);
+  }
+};
+
 // The case could not run: exit code 2.
 [[noreturn]] inline void cannot_run(const std::string& why) {
   std::fprintf(stderr, "case can't run: %s\n", why.c_str());
@@ -188,6 +223,7 @@
       polled_connections.push_back(c);
     }
     const double left = std::max(0.0, until - now());
+    if (Cleanup::interrupted != 0) cannot_run("interrupted by signal " + std::to_string(Cleanup::interrupted));
     poll(polled.data(), polled.size(), static_cast<int>(std::ceil(left * 1000)));
     for (std::size_t k = 0; k < polled.size(); ++k) {
       if (polled[k].revents == 0) continue;
@@ -354,17 +390,27 @@
 
 class Platform {
  public:
-  Platform(std::string record_path, std::uint64_t seed) : record{record_path}, rng{seed}, discovery{network, record, backends} {
-    const char* temporary = std::getenv("CASE_TMP");
-    const char* root = std::getenv("CASE_ROOT");
-    const char* run = std::getenv("CASE_RUN");
-    if (temporary == nullptr || root == nullptr || run == nullptr) cannot_run("start it by run.sh");
-    coordinator.folder = temporary, root_ = root, run_ = run;
-    const char* trouble_text = std::getenv("TROUBLE");
-    trouble = trouble_text == nullptr || std::string{trouble_text} != "0";
+  // `trouble`: whether the case's disruption takes place.
+  Platform(bool with_trouble, std::uint64_t seed)
+      : record{variable("CASE_RECORD")}, rng{seed}, discovery{network, record, backends}, trouble{with_trouble} {
+    Cleanup::install();
+    root_ = variable("CASE_ROOT"), run_ = variable("CASE_RUN");
+    const std::string pattern = (std::filesystem::temp_directory_path() / "gorsemount-review-XXXXXX").string();
+    if (pattern.size() >= sizeof Cleanup::folder) cannot_run("the path of the temporary folder is too long");
+    std::memcpy(Cleanup::folder, pattern.c_str(), pattern.size() + 1);
+    if (mkdtemp(Cleanup::folder) == nullptr) Cleanup::folder[0] = '\0', cannot_run("no temporary folder");
+    coordinator.folder = Cleanup::folder;
     record.line("disruption: %s", trouble ? "on" : "off");
   }
-  ~Platform() { stop(); }
+  ~Platform() {
+    stop();
+    Cleanup::run();
+  }
+  static std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    if (value == nullptr || *value == '\0') cannot_run("start it by run.sh");
+    return value;
+  }
   Platform(const Platform&) = delete;
   Platform& operator=(const Platform&) = delete;
 
@@ -379,7 +425,7 @@
   std::map<std::string, std::shared_ptr<Connection>> collectors;
   std::map<std::string, double> collector_redial_at;
   Coordinator coordinator;
-  bool trouble = true;
+  bool trouble;
   double report_every = 2, report_late = 0.8, redial = 0.2, eject_after = 5, eject_for = 4;
   double first_answer = 0;                // when the coordinator first gave its sign of life
   double last_pong = 0, longest_silence = 0;  // of the pings that are sent every half second
@@ -399,8 +445,10 @@
   void start() {
     const pid_t parent = getpid();
     coordinator.pid = fork();
+    Cleanup::coordinator = coordinator.pid;
     if (coordinator.pid < 0) cannot_run("fork failed");
     if (coordinator.pid == 0) {
+      for (const int signal : {SIGINT, SIGTERM, SIGHUP, SIGALRM, SIGPIPE}) std::signal(signal, SIG_DFL);
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent) _exit(127);
       const int log = open((coordinator.folder + "/log.txt").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
@@ -442,14 +490,18 @@
     if (waitpid(coordinator.pid, &status, WNOHANG) != coordinator.pid) return true;
     record.line("coordinator ended: %s %d", WIFSIGNALED(status) ? "signal" : "code",
                 WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
-    coordinator.pid = -1;
+    coordinator.pid = Cleanup::coordinator = -1;
     return false;
   }
+  // Ends the coordinator and puts the last lines of its log into the record.
   void stop() {
-    if (coordinator.pid <= 0) return;
-    kill(coordinator.pid, SIGKILL);
-    waitpid(coordinator.pid, nullptr, 0);
-    coordinator.pid = -1;
+    if (coordinator.pid > 0) kill(coordinator.pid, SIGKILL), waitpid(coordinator.pid, nullptr, 0);
+    coordinator.pid = Cleanup::coordinator = -1;
+    std::ifstream log{coordinator.folder + "/log.txt"};
+    std::deque<std::string> last;
+    for (std::string line; std::getline(log, line); last.push_back(line))
+      if (last.size() > 2) last.pop_front();
+    for (const auto& line : last) record.line("log of the coordinator: %s", line.c_str());
   }
   // Processor time that the coordinator has used, in seconds.
   double processor_time() const {
