Bound the number of fields in a message, so that a long line can't stop the event loop

Proxies went on sending to a backend that discovery had told as draining.

Cause: MessageFields compared each name with all names before it, so a line cost the square of its number of fields. With gtest, a line of 1 MiB of distinct fields took 12.1 to 13.9 s before, for each kind.

Change: a message holds at most 64 fields (the longest kind has seven); with more it is malformed: counted, skipped, and the connection stays. Unknown fields are still ignored. The comparisons of one line are bounded by a constant, so its cost is linear in its length.

Message.TheLongestLineIsParsedInTime: failed before in three of its eleven lines, takes 44 ms for all of them now.

--- a/src/streams/message.cpp
+++ b/src/streams/message.cpp
@@ -13,6 +13,8 @@
 constexpr std::array<std::string_view, 7> kMessageKinds{"ping",  "pong",  "collector", "joined",
                                                         "heard", "usage", "applied"};
 constexpr std::size_t kMaxParts = 64;
+constexpr std::size_t kMaxFields = 64;         // of one message; the longest kind has seven
+constexpr std::size_t kMaxReportedBytes = 32;  // of a field's name
 // Sanity bounds: ten minutes for a report window, and a number of tries that no zone reaches in one window.
 constexpr double kMaxMillis = 600'000;
 constexpr double kMaxCount = 10'000'000;
@@ -26,8 +28,9 @@
                      [](char c) { return static_cast<unsigned char>(c) >= 0x20 && c != 0x7f; });
 }
 
-// The `name=value` fields after the kind. A duplicate name or a word of another form makes the message
-// malformed.
+// The `name=value` fields after the kind. A duplicate name, a word of another form, or more than kMaxFields
+// fields make the message malformed. Each name is compared with all names before it, so the bound on their
+// number also keeps the cost of a line proportional to its length.
 class MessageFields {
  public:
   explicit MessageFields(std::string_view text) {
@@ -35,12 +38,7 @@
       const auto space = text.find(' ');
       const auto word = text.substr(0, space);
       text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
-      if (word.empty()) continue;
-      const auto equals = word.find('=');
-      if (equals == std::string_view::npos || equals == 0) throw FieldFault{std::string{word.substr(0, 32)}};
-      const auto name = word.substr(0, equals);
-      if (find(name)) throw FieldFault{std::string{name.substr(0, 32)}};
-      fields_.emplace_back(name, word.substr(equals + 1));
+      if (!word.empty()) add(word);
     }
   }
   [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const {
@@ -75,6 +73,16 @@
   }
 
  private:
+  void add(std::string_view word) {
+    if (fields_.size() == kMaxFields) throw FieldFault{"too many fields"};
+    const auto equals = word.find('=');
+    if (equals == std::string_view::npos || equals == 0)
+      throw FieldFault{std::string{word.substr(0, kMaxReportedBytes)}};
+    const auto name = word.substr(0, equals);
+    if (find(name)) throw FieldFault{std::string{name.substr(0, kMaxReportedBytes)}};
+    fields_.emplace_back(name, word.substr(equals + 1));
+  }
+
   std::vector<std::pair<std::string_view, std::string_view>> fields_;
 };
 
--- a/tests/streams/message_test.cpp
+++ b/tests/streams/message_test.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <random>
 
+#include "support/thread_time.hpp"
+
 namespace gorsemount::streams {
 namespace {
 
@@ -111,6 +114,51 @@
   }
 }
 
+TEST(Message, UnknownFieldsAreIgnoredUpToTheBoundOnTheirNumber) {
+  std::string line = "usage sidecar=17 kind=lookup n=19 bad=0 window=1000.0";  // five fields
+  for (int number = 0; number < 59; ++number) line += " x" + std::to_string(number) + "=0";
+  EXPECT_EQ(parse_as<ProxyUsage>(line).arrived, 19);
+  EXPECT_EQ(parse_as<Malformed>(line + " y=0").field, "too many fields");
+}
+
+// A line of `kind` as long as a message may be, filled with what `piece` returns for 0, 1, 2 and so on.
+std::string longest_line(const std::string& kind, const std::function<std::string(std::size_t)>& piece) {
+  std::string line = kind;
+  for (std::size_t number = 0; line.size() < kMaxMessageBytes; ++number) line += piece(number);
+  line.resize(kMaxMessageBytes);
+  return line;
+}
+
+// Guards against a line whose cost grows with the square of its length: one peer stopped the event loop for
+// 26 s with it.
+TEST(Message, TheLongestLineIsParsedInTime) {
+  const auto distinct = [](std::size_t number) { return " x" + std::to_string(number) + "=0"; };
+  const std::pair<const char*, std::string> cases[] = {
+      {"distinct fields", longest_line("heard", distinct)},
+      {"distinct fields after valid ones",
+       longest_line("heard az=a host=s n=1 bad=0 avg=1 window=9", distinct)},
+      {"distinct fields of a join", longest_line("joined", distinct)},
+      {"fields without a value",
+       longest_line("usage", [](std::size_t n) { return " y" + std::to_string(n); })},
+      {"spaces", longest_line("applied", [](std::size_t) { return " "; })},
+      {"equals signs", longest_line("heard", [](std::size_t) { return "="; })},
+      {"one long name", longest_line("heard ", [](std::size_t) { return "n"; })},
+      {"one long number",
+       longest_line("heard az=a host=s bad=0 avg=1 window=9 n=", [](std::size_t) { return "7"; })},
+      {"one long fraction",
+       longest_line("heard az=a host=s bad=0 n=1 window=9 avg=0.", [](std::size_t) { return "7"; })},
+      {"load report of many figures",
+       longest_line("heard az=a host=s n=1 bad=0 avg=1 window=9 report=cpu:0",
+                    [](std::size_t n) { return ",q" + std::to_string(n) + ":1"; })},
+      {"load report of commas",
+       longest_line("heard az=a host=s n=1 bad=0 avg=1 window=9 report=", [](std::size_t) { return ","; })},
+  };
+  for (const auto& [name, line] : cases) {
+    const Span spent = testing::thread_time([&] { (void)parse_message(line); });
+    EXPECT_LT(spent, testing::kMaxReadTime) << name << ": " << spent.seconds() << " s";
+  }
+}
+
 // ---- Encoding of updates ---------------------------------------------------------------------------------
 
 Update update(bool full, std::vector<EndpointWeight> lines, std::vector<OperationLevel> levels) {
