Scan each byte of a partial line once, however small the pieces that arrive are

Found on the path of the fault before: StreamServer::on_data searched the whole partial line for its end and checked all of it for text at each read, so a line of n bytes in pieces of a fixed size cost the square of n. A peer that sends the largest line in small segments kept the loop busy; a turn stayed short, so this alone stops nothing for long.

Change: a peer keeps the number of bytes that have passed; the search and the check begin there. A carriage return at the end is checked again, since only a line feed may follow it.

--- a/src/streams/message.cpp
+++ b/src/streams/message.cpp
@@ -171,7 +171,7 @@
   }
 }
 
-bool is_invalid_prefix(std::string_view part) {
+bool is_invalid_prefix(std::string_view part, std::size_t checked_bytes) {
   if (part.size() > kMaxMessageBytes) return true;
   if (!part.empty() && part.back() == '\r') part.remove_suffix(1);
   const auto space = part.find(' ');
@@ -180,7 +180,7 @@
   const bool known = std::any_of(kMessageKinds.begin(), kMessageKinds.end(), [&](auto known_kind) {
     return kind_complete ? known_kind == kind : known_kind.substr(0, kind.size()) == kind;
   });
-  return !known || !printable(part);
+  return !known || !printable(part.substr(std::min(checked_bytes, part.size())));
 }
 
 EncodedMessage encode_update(const Update& update) {
--- a/src/streams/message.hpp
+++ b/src/streams/message.hpp
@@ -55,8 +55,9 @@
 // Parses one line without its terminator.
 [[nodiscard]] Message parse_message(std::string_view line);
 
-// True if no message can begin with these bytes.
-[[nodiscard]] bool is_invalid_prefix(std::string_view prefix);
+// True if no message can begin with these bytes. The first `checked_bytes` have passed an earlier call and
+// are not looked at again, except for the kind of the message.
+[[nodiscard]] bool is_invalid_prefix(std::string_view prefix, std::size_t checked_bytes = 0);
 
 // A table's backend weights, or changes to them, and its admission levels; weight 0 removes a backend.
 struct EndpointWeight {
--- a/src/streams/stream_server.cpp
+++ b/src/streams/stream_server.cpp
@@ -120,15 +120,20 @@
     if (peer.discarded_bytes > kMaxDiscardedBytes) drop(id);
     return bytes.size();
   }
-  const auto end = bytes.find('\n');
+  const std::size_t checked_bytes = std::exchange(peer.checked_bytes, 0);
+  const auto end = bytes.find('\n', checked_bytes);
   const auto prefix = bytes.substr(0, end);
   const bool pending = peer.role == Role::pending;
-  if (is_invalid_prefix(prefix) || (pending && prefix.size() > limits_.max_partial_bytes)) {
+  if (is_invalid_prefix(prefix, checked_bytes) || (pending && prefix.size() > limits_.max_partial_bytes)) {
     pending ? refuse(id, "not a message") : protocol_error(id, "not a message");
     return bytes.size();
   }
   peer.has_valid_prefix = true;
-  if (end == std::string_view::npos) return 0;
+  if (end == std::string_view::npos) {
+    // Only the line's end may follow a carriage return, so one at the end is checked again.
+    peer.checked_bytes = prefix.ends_with('\r') ? prefix.size() - 1 : prefix.size();
+    return 0;
+  }
   auto line = prefix;
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
   handle_message(id, peer, parse_message(line));
--- a/src/streams/stream_server.hpp
+++ b/src/streams/stream_server.hpp
@@ -67,6 +67,7 @@
     std::shared_ptr<net::Connection> connection;
     net::Loop::Timer deadline;
     std::size_t discarded_bytes = 0;
+    std::size_t checked_bytes = 0;  // of the partial line, which passed is_invalid_prefix()
     bool has_valid_prefix = false;  // has sent a valid prefix of a message
     std::string zone;               // of a collector
   };
--- a/tests/streams/stream_server_test.cpp
+++ b/tests/streams/stream_server_test.cpp
@@ -7,8 +7,11 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <functional>
 #include <list>
 
+#include "support/thread_time.hpp"
+
 namespace gorsemount::streams {
 namespace {
 
@@ -114,6 +117,30 @@
   EXPECT_EQ(fixture.arrived, 3);
 }
 
+// Guards against scanning a partial line from its beginning for every piece that arrives.
+TEST(StreamServer, ALongLineInSmallPiecesIsReadInTime) {
+  constexpr std::size_t kPieceBytes = 100;
+  Fixture fixture;
+  Client client{joined(7)};
+  fixture.run();
+  ASSERT_TRUE(fixture.stream_by_proxy.contains(7));
+  std::string line = "usage sidecar=7 kind=x n=19 bad=0 window=1000.0 note=";
+  line.resize(kMaxMessageBytes - 2, 'x');
+  line += "\r\n";
+  std::size_t sent = 0;
+  const std::function<void()> send_piece = [&] {
+    client.send(line.substr(sent, kPieceBytes));
+    sent += kPieceBytes;
+    if (sent < line.size()) fixture.loop.call_soon(send_piece);
+  };
+  fixture.loop.call_soon(send_piece);
+  Span spent;
+  for (int run = 0; run < 100 && fixture.arrived == 0; ++run)
+    spent = spent + testing::thread_time([&] { fixture.run(0.2); });
+  EXPECT_EQ(fixture.arrived, 19);
+  EXPECT_LT(spent, testing::kMaxReadTime) << spent.seconds() << " s";
+}
+
 TEST(StreamServer, JoinTimeoutClosesOnlyPendingConnections) {
   StreamServer::Limits limits;
   limits.join_timeout = Span::seconds(0.1);
