Report zones without a line of their own, and the loop's longest turn, in the state line

Added: `longest_turn_ms`, the longest turn of the event loop; `no_zone_line`, the zones whose joined proxies hold no line of their zone, and how many proxies. The setting `zone-bound` is read for it and rejected if it is no list of one flag for each operation; the decisions don't use it yet.

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -209,6 +209,7 @@
         {"levels", stats.levels},
         {"held_back", stats.reduced},
         {"failing", stats.failing},
+        {"no_zone_line", stats.without_zone_line},
         {"messages_out", std::to_string(counts.messages_sent)},
         {"lines_out", std::to_string(sent_lines_)},
         {"bytes_out", std::to_string(counts.bytes_sent)},
@@ -221,6 +222,7 @@
         {"refused", format_counts(counts.refusals)},
         {"turns", std::to_string(loop_.turns())},
         {"steps", std::to_string(steps_)},
+        {"longest_turn_ms", fmt::format("{:.2f}", loop_.take_longest_turn().seconds() * 1000)},
         {"longest_step_ms", fmt::format("{:.2f}", longest_step_.seconds() * 1000)},
         {"longest_decision_ms", fmt::format("{:.2f}", longest_decision_.seconds() * 1000)}};
     for (const auto& [zone, zone_stats] : stats.zones)
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -126,6 +126,7 @@
   }
   const auto tasks = std::exchange(deferred_tasks_, {});
   for (const auto& task : tasks) task();
+  longest_turn_ = std::max(longest_turn_, monotonic_now() - now_);
 }
 
 void Loop::run() {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 #include "core/time.hpp"
@@ -47,6 +48,9 @@
   void stop() { stopped_ = true; }
   [[nodiscard]] Instant now() const { return now_; }  // time at which the current turn began to handle events
   [[nodiscard]] std::uint64_t turns() const { return turns_; }  // turns so far; exposes a busy loop
+  // Longest time since the last call that one turn spent on its handlers, timers and tasks, during which
+  // nothing else was handled.
+  [[nodiscard]] Span take_longest_turn() { return std::exchange(longest_turn_, Span{}); }
 
  private:
   void turn();
@@ -55,6 +59,7 @@
   Instant now_;
   bool stopped_ = false;
   std::uint64_t turns_ = 0;
+  Span longest_turn_;
   struct Registration {
     std::uint32_t generation = 0;  // distinguishes registrations of a reused descriptor number
     std::shared_ptr<Handler> handler;
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -24,6 +24,7 @@
   Effect effect = Effect::side_effecting;
   Span latency_objective;
   double billed_value = 0;
+  bool zone_bound = false;  // only backends in the proxy's zone may serve it
 };
 
 struct Settings {
--- a/src/settings_json/settings.cpp
+++ b/src/settings_json/settings.cpp
@@ -40,6 +40,17 @@
   return operation;
 }
 
+// `zone-bound` holds a flag for each operation. Without it no operation is bound to the proxy's zone.
+void read_zone_bound(const Fields& family, std::vector<Operation>& operations) {
+  if (!family.has("zone-bound")) return;
+  const Json& flags = family.array("zone-bound");
+  if (flags.size() != operations.size()) family.fail("zone-bound", "has not one entry for each of the lanes");
+  for (std::size_t index = 0; index < operations.size(); ++index) {
+    if (!flags[index].is_boolean()) family.fail("zone-bound", "contains a value that is not a boolean");
+    operations[index].zone_bound = flags[index].get<bool>();
+  }
+}
+
 }  // namespace
 
 Settings read_settings(const Fields& config) {
@@ -49,6 +60,7 @@
   for (std::size_t index = 0; index < lanes.size(); ++index)
     settings.operations.push_back(
         read_operation(Fields{lanes[index], "config.lanes[" + std::to_string(index) + "]"}));
+  read_zone_bound(family, settings.operations);
   const auto kind = family.text("level-kind");
   if (kind == "share") {
     settings.admission_mode = AdmissionMode::share;
--- a/src/streams/policy_host.cpp
+++ b/src/streams/policy_host.cpp
@@ -19,6 +19,8 @@
     : policy_{settings, seed},
       names_{std::move(names)},
       proxy_count_{settings.proxies},
+      has_zone_bound_operations_{std::any_of(settings.operations.begin(), settings.operations.end(),
+                                             [](const Operation& o) { return o.zone_bound; })},
       removal_is_binding_{settings.removal_binds},
       unix_epoch_{unix_epoch},
       batching_{batching},
@@ -95,6 +97,7 @@
     leave(before->second);
   }
   proxy_by_stream_[stream] = proxy, stream_by_proxy_[proxy] = stream;
+  zone_by_proxy_[proxy] = *zone_id;
   pending_events_.emplace_back(ProxyJoined{proxy, *zone_id, message.usual_rate});
   return result;
 }
@@ -105,6 +108,7 @@
   const ProxyId proxy = it->second;
   proxy_by_stream_.erase(it);
   stream_by_proxy_.erase(proxy);
+  zone_by_proxy_.erase(proxy);
   tables_.remove_proxy(proxy);
   pending_events_.emplace_back(ProxyLeft{proxy});
 }
@@ -233,7 +237,25 @@
       stats.levels += (stats.levels.empty() ? "" : " ") + names_.operations.at(operation.value) + ":" +
                       std::to_string(level.level) + "/" + std::to_string(static_cast<int>(level.tries));
   }
+  stats.without_zone_line = zones_without_line();
   return stats;
 }
 
+std::string PolicyHost::zones_without_line() const {
+  if (!has_zone_bound_operations_) return {};
+  std::map<TableId, std::set<ZoneId>> zones_by_table;
+  for (const auto& [id, table] : tables_.all())
+    for (const auto& [backend, weight] : table.weights) zones_by_table[id].insert(backends_.at(backend).zone);
+  std::map<ZoneId, std::size_t> proxies_by_zone;
+  for (const auto& [proxy, table] : tables_.bound_tables()) {
+    const auto zone = zone_by_proxy_.find(proxy);
+    if (zone != zone_by_proxy_.end() && !zones_by_table[table].contains(zone->second))
+      ++proxies_by_zone[zone->second];
+  }
+  std::string text;
+  for (const auto& [zone, proxies] : proxies_by_zone)
+    text += (text.empty() ? "" : " ") + names_.zones.at(zone.value) + ":" + std::to_string(proxies);
+  return text;
+}
+
 }  // namespace gorsemount::streams
--- a/src/streams/policy_host.hpp
+++ b/src/streams/policy_host.hpp
@@ -73,6 +73,8 @@
     std::string levels;
     std::string reduced;  // zones, backends and links below their full share, as `name:percent`
     std::string failing;  // backends with errored tries, as `name:errored/tries`
+    // Zones whose proxies have no line of their zone although an operation is bound to it, as `zone:proxies`.
+    std::string without_zone_line;
   };
   [[nodiscard]] Stats take_stats();
 
@@ -87,11 +89,13 @@
   void mark_unlisted(BackendId id);
   void forget_unlisted();
   void queue_report(Instant now, Event report);
+  [[nodiscard]] std::string zones_without_line() const;
   [[nodiscard]] std::optional<Instant> reports_due() const;  // when to pass on the queued reports
 
   Policy policy_;
   IdNames names_;
   double proxy_count_;
+  bool has_zone_bound_operations_;
   bool removal_is_binding_;
   Instant unix_epoch_, now_;
   ReportBatching batching_;
@@ -101,6 +105,7 @@
   std::uint32_t last_id_ = 0;
   std::map<StreamId, ProxyId> proxy_by_stream_;
   std::map<ProxyId, StreamId> stream_by_proxy_;
+  std::map<ProxyId, ZoneId> zone_by_proxy_;
   std::multimap<Instant, TimerTag> timers_;
   std::vector<Event> pending_events_, queued_reports_;
   Instant first_report_at_, last_report_at_;
--- a/src/streams/proxy_tables.hpp
+++ b/src/streams/proxy_tables.hpp
@@ -39,6 +39,7 @@
     std::map<OperationId, Level> levels;
   };
   [[nodiscard]] const std::map<TableId, Table>& all() const { return tables_; }
+  [[nodiscard]] const std::map<ProxyId, TableId>& bound_tables() const { return table_by_proxy_; }
 
  private:
   [[nodiscard]] std::shared_ptr<const EncodedMessage> encode(const Table& contents, bool full) const;
