Keep a line of their zone for proxies whose operations are bound to it

Cause: the module didn't know of such operations. With two subsets the zone's backends are split two and one; when the one drains, its subset's table has no line of the zone, and compute_tables borrows only for a subset without any warm line.

Change: `zone-bound` reaches the module. For each zone with joined proxies a table without a warm line of it gets the zone's lines of one other subset, at a hundredth of their weight: the bound operation has no other line, and the rest of the traffic hardly uses them. The table's own cold lines of the zone are reduced alike, so that a started backend doesn't get the operation alone. The choice stands in a module of its own, zone_fallback. If the share controllers have removed all backends of the zone, or the link within it, the zone's lines stay at that weight. A line without which proxies would have none is now sent like a removal, without waiting for room in the channel; the same holds for a table that loses all its lines.

Looked for on the related paths, a test each: drain, a zone with fewer backends than subsets, withdrawal of one backend and of the whole zone, failing link within the zone, restart with returning proxies, a started backend, a full channel.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -18,10 +18,15 @@
 #include <set>
 #include <utility>
 
+#include "policy/zone_fallback.hpp"
+
 namespace gorsemount {
 
 namespace {
 
+// Part of its listed weight that a line has where it only stands in for its zone: the operations that are
+// bound to the zone have no other line, and the rest of the traffic hardly uses it.
+constexpr double kFallbackWeight = 0.01;
 constexpr double kUnlimitedRate = 1e6;  // above any proxy's rate: admits everything
 constexpr std::size_t kMaxSamples = 8;  // longest look-back, in report rounds (a zone needs 200 tries)
 // Shorter than all timers below, far above the host's clock resolution.
@@ -155,8 +160,14 @@
 
 // Ids below 1000 are the subset tables; above are the tables of a zone whose proxies avoid a failing link
 // (`zone_number` is 1 + zone).
+constexpr std::uint16_t kTablesPerZone = 1000;
 TableId table_id(std::size_t subset, std::size_t zone_number = 0) {
-  return TableId{static_cast<std::uint16_t>(1000 * zone_number + subset)};
+  return TableId{static_cast<std::uint16_t>(kTablesPerZone * zone_number + subset)};
+}
+// The zone whose proxies the table is for; empty for a subset table.
+std::optional<ZoneId> zone_of(TableId table) {
+  if (table.value < kTablesPerZone) return {};
+  return ZoneId{static_cast<std::uint16_t>(table.value / kTablesPerZone - 1)};
 }
 
 struct Table {
@@ -174,9 +185,11 @@
       : settings{std::move(initial)}, rng{static_cast<std::uint32_t>(seed)} {
     report_interval = settings.report_every.seconds();
     arrived.resize(settings.operations.size()), arrival_ratios.resize(settings.operations.size());
-    for (const auto& operation : settings.operations)
+    for (const auto& operation : settings.operations) {
       mean_objective +=
           operation.latency_objective.seconds() / static_cast<double>(settings.operations.size());
+      has_zone_bound_operations = has_zone_bound_operations || operation.zone_bound;
+    }
   }
 
   void on_event(const TimerFired&) {}
@@ -185,6 +198,7 @@
   [[nodiscard]] bool ready(const Backend& b) const { return b.entry.availability == Availability::ready; }
 
   Settings settings;
+  bool has_zone_bound_operations = false;
   std::mt19937 rng;
   Instant now;
   std::vector<Order> out;
@@ -221,6 +235,8 @@
 
   std::map<TableId, Table> wanted_tables, sent_tables;
   std::map<ProxyId, Proxy> proxies;
+  // Zones of the joined proxies, if an operation is bound to the proxy's zone; else empty.
+  std::set<ZoneId> zones_to_serve;
   std::size_t subset_count = 0;  // 0: not partitioned yet
   bool subscribed = false;
   std::optional<Instant> first_join, next_subscribe, next_wake;
@@ -606,8 +622,46 @@
         if (restoring && weight > previous && weight < 1.2 * previous) weight = previous;
       }
     if (wanted_admissions.empty()) compute_admissions();
-    // While a link of a zone has a reduced share, the proxies of that zone get a table of their own,
-    // provided that it keeps warm backends.
+    ZoneFallback fallback_by_zone = collect_zone_fallback();
+    for (std::size_t k = 0; k < subset_count; ++k)
+      for (const ZoneId zone : zones_to_serve)
+        keep_line_of_zone(wanted_tables[table_id(k)].weights, zone, k, fallback_by_zone);
+    compute_link_tables(fallback_by_zone);
+    for (auto& [id, table] : wanted_tables) table.admissions = wanted_admissions;
+  }
+
+  ZoneFallback collect_zone_fallback() {
+    ZoneFallback fallback;
+    zones_to_serve.clear();
+    if (!has_zone_bound_operations) return fallback;
+    for (const auto& [id, p] : proxies) zones_to_serve.insert(p.zone);
+    for (const auto& [id, b] : backends)
+      if (ready(b) && !b.unlisted && slow_start_factor(b) >= 1)
+        fallback.add(
+            {id, b.entry.zone, b.subset, b.entry.weight, b.control.share * zones[b.entry.zone].share});
+    return fallback;
+  }
+
+  // Gives a table without a warm line of the zone the zone's lines of another subset, at a small weight. Its
+  // own cold lines are reduced alike; otherwise they would get all of what is bound to the zone.
+  void keep_line_of_zone(std::map<BackendId, double>& weights, ZoneId zone, std::size_t subset,
+                         ZoneFallback& fallback) {
+    std::vector<double*> cold_weights;
+    for (auto& [id, weight] : weights) {
+      const Backend& b = backends[id];
+      if (b.entry.zone != zone) continue;
+      if (slow_start_factor(b) >= 1) return;
+      cold_weights.push_back(&weight);
+    }
+    const auto borrowed = fallback.choose(zone, subset);
+    if (borrowed.empty()) return;
+    for (double* weight : cold_weights) *weight *= kFallbackWeight;
+    for (const auto& candidate : borrowed) weights[candidate.backend] = candidate.weight * kFallbackWeight;
+  }
+
+  // While a link of a zone has a reduced share, the proxies of that zone get a table of their own, provided
+  // that it keeps warm backends.
+  void compute_link_tables(ZoneFallback& fallback) {
     for (const auto& [key, link] : links) {
       if (link.control.at_full_share()) continue;
       for (std::size_t k = 0; k < subset_count; ++k) {
@@ -618,10 +672,10 @@
           if (slow_start_factor(backends[id]) >= 1) remaining += weight;
         }
         std::erase_if(zone_table.weights, [](const auto& row) { return row.second <= 0; });
+        if (zones_to_serve.contains(key.first)) keep_line_of_zone(zone_table.weights, key.first, k, fallback);
         if (remaining > 0) wanted_tables[table_id(k, 1 + key.first.value)] = std::move(zone_table);
       }
     }
-    for (auto& [id, table] : wanted_tables) table.admissions = wanted_admissions;
   }
 
   // Computes admission limits and retries. Retries stay at the configured default, at most if
@@ -718,8 +772,34 @@
     return std::min(0.5 * settings.backlog, 0.2 * settings.drain_grace.seconds() * settings.push_rate);
   }
 
+  // Makes deferred lines required if without them the table's proxies would be left with no line, or with
+  // none for an operation that is bound to their zone.
+  void promote_needed_lines(TableId number, const Table& have, std::vector<Order>& required,
+                            std::vector<Order>& deferred) {
+    std::set<BackendId> removed;
+    for (const auto& order : required)
+      if (const auto* change = std::get_if<SetWeight>(&order); change != nullptr && change->weight <= 0)
+        removed.insert(change->backend);
+    std::set<ZoneId> zones_left;
+    for (const auto& [id, weight] : have.weights)
+      if (!removed.contains(id)) zones_left.insert(backends.at(id).entry.zone);
+    const auto table_zone = zone_of(number);
+    const auto needed = [&](const Order& order) {
+      const auto* change = std::get_if<SetWeight>(&order);
+      if (change == nullptr || change->weight <= 0) return false;
+      const ZoneId zone = backends.at(change->backend).entry.zone;
+      const bool served = table_zone ? zone == *table_zone : zones_to_serve.contains(zone);
+      return zones_left.empty() || (!zones_to_serve.empty() && served && !zones_left.contains(zone));
+    };
+    const auto first_needed =
+        std::stable_partition(deferred.begin(), deferred.end(), [&](const Order& o) { return !needed(o); });
+    std::move(first_needed, deferred.end(), std::back_inserter(required));
+    deferred.erase(first_needed, deferred.end());
+  }
+
   // Orders the difference between a table and what was sent. If the channel has no room, only required
-  // changes are ordered: removals and reductions of draining, gone or cold backends.
+  // changes are ordered: removals and reductions of draining, gone or cold backends, and the lines without
+  // which proxies would have none.
   void send_table(TableId number, const Table& wanted_table, bool forced) {
     Table& have = sent_tables[number];
     std::vector<Order> orders, deferred;
@@ -739,6 +819,7 @@
       if (const Admission& w = wanted_table.admissions[k], &h = have.admissions[k];
           h.retries != w.retries || std::abs(h.limit - w.limit) >= 0.03 * w.limit)
         deferred.emplace_back(SetAdmission{number, operation_id(k), w.retries, w.limit});
+    promote_needed_lines(number, have, orders, deferred);
     if (forced == orders.empty()) return;
 
     auto& sent = have.message_times;
--- a/tests/app/coordinator_process_test.cpp
+++ b/tests/app/coordinator_process_test.cpp
@@ -99,6 +99,13 @@
             "config.settings.family-info: 'ranges' is above 0: key ranges are not supported");
   EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":1,"one-owner":true,)"),
             "config.settings.family-info: 'one-owner' is true: owners of key ranges are not supported");
+  EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":1,"zone-bound":true,)"),
+            "config.settings.family-info: 'zone-bound' is not an array");
+  EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":1,"zone-bound":[true,false,true],)"),
+            "config.settings.family-info: 'zone-bound' does not have one entry for each of the lanes");
+  EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":1,"zone-bound":[1],)"),
+            "config.settings.family-info: 'zone-bound' contains a value that is not a boolean");
+  EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":1,"zone-bound":[true],)"), "none");
   EXPECT_EQ(parse_error(good, R"("proxies":1,)", R"("proxies":70000,)"),
             "config.settings.family-info: 'proxies' is above 65536");
   EXPECT_EQ(parse_error(good, R"("fleet-size":1)", R"("fleet-size":0)"),
--- /dev/null
+++ b/tests/policy/zone_bound_test.cpp
@@ -0,0 +1,296 @@
+// Operations that only backends in the proxy's zone may serve: every proxy keeps a line of its zone while the
+// zone has a ready, warm backend, in whichever way its subset loses its own.
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "helpers.hpp"
+
+namespace gorsemount::testing {
+
+namespace {
+
+constexpr std::uint16_t kZones = 10;
+constexpr std::uint16_t kProxiesPerZone = 4;
+constexpr std::uint16_t kProxies = kZones * kProxiesPerZone;
+constexpr unsigned kBackendsPerZone = 3;
+
+ZoneId zone_of_proxy(ProxyId proxy) {
+  return ZoneId{static_cast<std::uint16_t>(proxy.value / kProxiesPerZone)};
+}
+
+Settings zone_bound_settings() {
+  Settings s = settings(AdmissionMode::off);
+  s.operations.push_back({Effect::idempotent, Span::seconds(1), 1, true});
+  s.proxies = kProxies;
+  s.report_every = Span::seconds(2);
+  s.push_rate = 5600, s.backlog = 11200, s.per_message = 4;
+  return s;
+}
+
+// A fleet of three backends in each of ten zones, which is partitioned into two subsets, and four proxies in
+// each zone. Keeps the tables that the orders have set up.
+class ZonedFleet {
+ public:
+  explicit ZonedFleet(Settings s = zone_bound_settings()) : policy{std::move(s), 7} {
+    for (std::uint16_t zone = 0; zone < kZones; ++zone)
+      for (unsigned k = 0; k < kBackendsPerZone; ++k) {
+        const BackendId id{100U + zone * kBackendsPerZone + k};
+        fleet[id] = {id, ZoneId{zone}, Availability::ready, 1, {}};
+      }
+  }
+  void start() {
+    std::vector<Event> events{full_list()};
+    for (std::uint16_t p = 0; p < kProxies; ++p)
+      events.emplace_back(ProxyJoined{ProxyId{p}, zone_of_proxy(ProxyId{p}), 2.3});
+    send(events);
+  }
+  [[nodiscard]] BackendListUpdate full_list(ListScope scope = ListScope::cached) const {
+    BackendListUpdate list{scope, {}};
+    for (const auto& [id, entry] : fleet) list.entries.push_back(entry);
+    return list;
+  }
+  void send(const std::vector<Event>& events) {
+    for (const auto& order : policy.handle(now, events)) {
+      if (const auto* change = std::get_if<SetWeight>(&order)) {
+        tables[change->table][change->backend] = change->weight;
+        if (change->weight <= 0) tables[change->table].erase(change->backend);
+      } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
+        bound[bind->proxy] = bind->table;
+      }
+    }
+  }
+  void set(BackendId id, Availability availability, std::optional<Instant> started = {}) {
+    auto& entry = fleet.at(id);
+    entry.availability = availability, entry.started = started;
+    send({BackendListUpdate{ListScope::delta, {entry}}});
+  }
+  void wait(double seconds) {
+    for (double passed = 0; passed < seconds; passed += 0.25)
+      now = now + Span::seconds(0.25), send({TimerFired{}});
+  }
+  // One round of reports, `tries` from each zone on each backend; `errored` gives how many fail.
+  using Errored = std::function<int(ZoneId from, const BackendListUpdate::Entry& backend)>;
+  void round(int tries, const Errored& errored) {
+    wait(2);
+    std::vector<Event> events;
+    for (std::uint16_t from = 0; from < kZones; ++from)
+      for (const auto& [id, entry] : fleet)
+        if (entry.availability == Availability::ready)
+          events.emplace_back(BackendReport{ZoneId{from},
+                                            id,
+                                            tries,
+                                            errored(ZoneId{from}, entry),
+                                            Span::seconds(0.2),
+                                            Span::seconds(2),
+                                            {}});
+    send(events);
+  }
+  [[nodiscard]] bool has_line(ProxyId proxy) const {
+    for (const auto& [id, weight] : tables.at(bound.at(proxy)))
+      if (fleet.at(id).zone == zone_of_proxy(proxy)) return true;
+    return false;
+  }
+  // Zones with a proxy that has no line of its zone.
+  [[nodiscard]] std::set<ZoneId> zones_without_line() const {
+    std::set<ZoneId> zones;
+    for (const auto& [proxy, table] : bound)
+      if (!has_line(proxy)) zones.insert(zone_of_proxy(proxy));
+    return zones;
+  }
+  // A backend that is the only one of its zone in its subset's table.
+  [[nodiscard]] BackendId sole_backend_of_a_zone() const {
+    for (const auto& [table, lines] : tables) {
+      std::map<ZoneId, std::vector<BackendId>> by_zone;
+      for (const auto& [id, weight] : lines) by_zone[fleet.at(id).zone].push_back(id);
+      for (const auto& [zone, backends] : by_zone)
+        if (backends.size() == 1) return backends.front();
+    }
+    ADD_FAILURE() << "no subset has a single backend of a zone";
+    return {};
+  }
+  // Weight of a zone's lines in the table of a proxy.
+  [[nodiscard]] double zone_weight(ProxyId proxy, ZoneId zone) const {
+    double total = 0;
+    for (const auto& [id, weight] : tables.at(bound.at(proxy)))
+      if (fleet.at(id).zone == zone) total += weight;
+    return total;
+  }
+
+  Policy policy;
+  Instant now = Instant::at_seconds(1000);
+  std::map<BackendId, BackendListUpdate::Entry> fleet;
+  std::map<TableId, std::map<BackendId, double>> tables;
+  std::map<ProxyId, TableId> bound;
+};
+
+const std::set<ZoneId> kNone;
+
+}  // namespace
+
+// Guards against a subset that loses its last line of a zone when a backend drains: the zone's proxies were
+// refused for the rest of the run.
+TEST(ZoneBound, ProxiesKeepALineWhenTheirSubsetsLastBackendOfTheZoneDrains) {
+  ZonedFleet f;
+  f.start();
+  ASSERT_EQ(f.tables.size(), 2U);
+  ASSERT_EQ(f.bound.size(), kProxies);
+  ASSERT_EQ(f.zones_without_line(), kNone);
+  for (std::uint16_t zone = 0; zone < kZones; ++zone) {
+    f.set(BackendId{100U + zone * kBackendsPerZone}, Availability::draining);
+    EXPECT_EQ(f.zones_without_line(), kNone) << "zone " << zone << ", in the reply to the drain";
+    f.wait(1);
+  }
+  for (std::uint16_t zone = 0; zone < kZones; ++zone)
+    f.set(BackendId{100U + zone * kBackendsPerZone}, Availability::gone);
+  f.wait(5);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+}
+
+// Guards against a partition that leaves a subset without a backend of a zone from the beginning.
+TEST(ZoneBound, ProxiesKeepALineOfAZoneWithFewerBackendsThanSubsets) {
+  ZonedFleet f;
+  for (std::uint16_t zone = 0; zone < 3; ++zone)
+    for (unsigned k = 1; k < kBackendsPerZone; ++k)
+      f.fleet.erase(BackendId{100U + zone * kBackendsPerZone + k});
+  f.start();
+  ASSERT_EQ(f.tables.size(), 2U);
+  EXPECT_EQ(f.bound.size(), kProxies);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+}
+
+// A borrowed line carries the operation that is bound to the zone, and hardly anything else.
+TEST(ZoneBound, ABorrowedLineHasASmallWeightAndGoesWhenTheZoneHasItsOwnAgain) {
+  ZonedFleet f;
+  f.start();
+  const BackendId sole = f.sole_backend_of_a_zone();
+  const ZoneId zone = f.fleet.at(sole).zone;
+  f.set(sole, Availability::draining);
+  f.wait(1);
+  int small = 0;
+  for (const auto& [table, lines] : f.tables)
+    for (const auto& [id, weight] : lines)
+      if (f.fleet.at(id).zone == zone && weight < 1) {
+        EXPECT_LE(weight, 0.05);
+        ++small;
+      }
+  EXPECT_EQ(small, 2);
+  f.set(sole, Availability::ready);
+  f.wait(1);
+  for (const auto& [table, lines] : f.tables)
+    for (const auto& [id, weight] : lines) EXPECT_EQ(weight, 1);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+}
+
+// Guards against the loss by withdrawal: the subset's only backend of the zone fails, then all of the zone.
+TEST(ZoneBound, ProxiesKeepALineWhenBackendsOfTheirZoneFail) {
+  ZonedFleet f;
+  f.start();
+  const BackendId sole = f.sole_backend_of_a_zone();
+  const ZoneId zone = f.fleet.at(sole).zone;
+  bool removed = false;
+  for (int round = 0; round < 8; ++round) {
+    f.round(10, [&](ZoneId, const auto& entry) { return entry.backend == sole ? 10 : 0; });
+    EXPECT_EQ(f.zones_without_line(), kNone) << "round " << round;
+    for (const auto& [table, lines] : f.tables) removed = removed || !lines.contains(sole);
+  }
+  EXPECT_TRUE(removed);
+  double least_weight = 1e9;
+  for (int round = 0; round < 12; ++round) {
+    f.round(10, [&](ZoneId, const auto& entry) { return entry.zone == zone ? 10 : 0; });
+    EXPECT_EQ(f.zones_without_line(), kNone) << "whole zone, round " << round;
+    for (const auto& [proxy, table] : f.bound)
+      least_weight = std::min(least_weight, f.zone_weight(proxy, zone));
+  }
+  EXPECT_LE(least_weight, 0.05) << "the failing zone was never drained";
+  EXPECT_GT(least_weight, 0);
+}
+
+// Guards against the loss by a failing link within the zone, which takes the zone's lines out of the table of
+// its own proxies.
+TEST(ZoneBound, ProxiesKeepALineWhenTheLinkWithinTheirZoneFails) {
+  ZonedFleet f;
+  f.start();
+  bool own_table = false;
+  for (int round = 0; round < 12; ++round) {
+    f.round(20, [](ZoneId from, const auto& entry) {
+      return from == ZoneId{} && entry.zone == ZoneId{} ? 20 : 0;
+    });
+    EXPECT_EQ(f.zones_without_line(), kNone) << "round " << round;
+    own_table = own_table || f.bound.at(ProxyId{}).value >= 1000;
+  }
+  EXPECT_TRUE(own_table);
+}
+
+// Guards against the loss by a restart of the coordinator: its proxies come again, some before others.
+TEST(ZoneBound, ProxiesKeepALineAfterARestartWithAReducedFleet) {
+  ZonedFleet f;
+  f.start();
+  std::erase_if(f.fleet, [](const auto& row) { return row.second.zone == ZoneId{1}; });
+  for (unsigned k = 1; k < kBackendsPerZone; ++k) f.fleet.erase(BackendId{106U + k});  // one left in zone 2
+  f.policy = Policy{zone_bound_settings(), 8};
+  f.tables.clear(), f.bound.clear();
+  f.send({f.full_list()});
+  for (std::uint16_t p = 0; p < kProxies; ++p) {
+    f.now = f.now + Span::seconds(0.05);
+    f.send({ProxyJoined{ProxyId{p}, zone_of_proxy(ProxyId{p}), 2.3}});
+    EXPECT_LE(f.zones_without_line(), std::set<ZoneId>{ZoneId{1}}) << "after proxy " << p;
+  }
+  f.wait(1);
+  EXPECT_EQ(f.tables.size(), 2U);
+  EXPECT_EQ(f.bound.size(), kProxies);
+  // No backend is left in this zone, so nothing may stand in for it.
+  EXPECT_EQ(f.zones_without_line(), std::set<ZoneId>{ZoneId{1}});
+}
+
+// Rule on cold backends: one that has just started must not get all of the zone's bound operation, although
+// it is the subset's only backend of the zone.
+TEST(ZoneBound, AColdBackendIsNotTheOnlyLineOfItsZone) {
+  ZonedFleet f;
+  f.start();
+  for (int round = 0; round < 3; ++round) f.round(10, [](ZoneId, const auto&) { return 0; });
+  const BackendId sole = f.sole_backend_of_a_zone();
+  const ZoneId zone = f.fleet.at(sole).zone;
+  f.set(sole, Availability::ready, f.now);
+  for (int round = 0; round < 6; ++round) {
+    f.round(10, [](ZoneId, const auto&) { return 0; });
+    for (const auto& [proxy, table] : f.bound) {
+      if (zone_of_proxy(proxy) != zone || !f.tables.at(table).contains(sole)) continue;
+      const double age = (f.now - *f.fleet.at(sole).started).seconds() / 15;
+      EXPECT_LE(f.tables.at(table).at(sole), (0.2 + 0.8 * age) * f.zone_weight(proxy, zone)) << "age " << age;
+    }
+    EXPECT_EQ(f.zones_without_line(), kNone);
+  }
+  f.round(10, [](ZoneId, const auto&) { return 0; });
+  f.round(10, [](ZoneId, const auto&) { return 0; });
+  for (const auto& [table, lines] : f.tables)
+    for (const auto& [id, weight] : lines) EXPECT_EQ(weight, 1) << "after the start";
+}
+
+// The line that replaces the last one is as urgent as the removal: it doesn't wait for room in the channel.
+TEST(ZoneBound, TheReplacingLineDoesNotWaitForRoomInTheChannel) {
+  Settings s = zone_bound_settings();
+  s.drain_grace = Span::seconds(0.05);  // leaves next to no room for changes that can wait
+  ZonedFleet f{s};
+  f.start();
+  ASSERT_EQ(f.bound.size(), kProxies);
+  f.wait(8);
+  f.set(f.sole_backend_of_a_zone(), Availability::draining);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+}
+
+// Without such an operation the tables hold each backend once, as before.
+TEST(ZoneBound, WithoutSuchAnOperationNothingIsBorrowed) {
+  Settings s = zone_bound_settings();
+  s.operations.pop_back();
+  ZonedFleet f{s};
+  f.start();
+  f.set(f.sole_backend_of_a_zone(), Availability::draining);
+  f.wait(2);
+  std::set<BackendId> seen;
+  for (const auto& [table, lines] : f.tables)
+    for (const auto& [id, weight] : lines) EXPECT_TRUE(seen.insert(id).second);
+}
+
+}  // namespace gorsemount::testing
--- a/tests/rules_model_test.cpp
+++ b/tests/rules_model_test.cpp
@@ -1,7 +1,8 @@
 // Checks the module's orders against a simple reference model of the safety limits, on generated sequences of
 // joins, leaves, mass reconnects, restarts, drains, backend starts and lists that report live backends as
-// gone, with few and with hundreds of backends and proxies, in all admission modes and with removal binding
-// or not.
+// gone, with few and with hundreds of backends and proxies, in all admission modes, with removal binding or
+// not, and with an operation that is bound to the proxy's zone or none.
+#include <algorithm>
 #include <deque>
 #include <random>
 
@@ -14,6 +15,7 @@
 struct KnownBackend {
   BackendListUpdate::Entry entry;
   Instant learned;
+  bool listed = true;  // false: the list has lost it, where that doesn't bind
 };
 
 // The state that the orders have set up. All limits are checked again after each reply.
@@ -30,9 +32,14 @@
         known_[e.backend] = {e, now};
       else if (s_.removal_binds || was_draining)
         known_.erase(e.backend);
+      else if (row != known_.end())
+        row->second.listed = false;
     }
   }
-  void join(Instant now, ProxyId p) { joined_[p] = now, bound_.erase(p); }
+  void join(Instant now, ProxyId p, ZoneId zone) {
+    joined_[p] = now, bound_.erase(p);
+    zones_[p] = zone;
+  }
   void leave(ProxyId p) { joined_.erase(p), bound_.erase(p); }
   void restart() {
     joined_.clear(), bound_.clear(), tables_.clear(), message_times_.clear(), queued_lines_ = 0;
@@ -77,6 +84,7 @@
     std::set<TableId> used;
     for (const auto& [p, table] : bound_) used.insert(table);
     for (const auto table : used) check(now, tables_[table]);
+    check_zone_bound_operations(now);
     // A mass reconnect's bindings may take two seconds in the channel; until then a proxy uses its former
     // table.
     for (const auto& [p, since] : joined_) {
@@ -111,10 +119,33 @@
     }
   }
 
+  // A bound proxy has a line of its zone while a ready, warm backend of the zone is listed.
+  void check_zone_bound_operations(Instant now) const {
+    const bool zone_bound = std::any_of(s_.operations.begin(), s_.operations.end(),
+                                        [](const Operation& operation) { return operation.zone_bound; });
+    if (!zone_bound) return;
+    std::set<ZoneId> warm_zones;
+    for (const auto& [id, known] : known_)
+      if (known.listed && known.entry.availability == Availability::ready &&
+          (!known.entry.started || now - *known.entry.started >= s_.cold_for))
+        warm_zones.insert(known.entry.zone);
+    for (const auto& [proxy, table] : bound_) {
+      const ZoneId zone = zones_.at(proxy);
+      const auto& lines = tables_.at(table);
+      const bool has_line = std::any_of(lines.begin(), lines.end(), [&](const auto& line) {
+        return known_.contains(line.first) && known_.at(line.first).entry.zone == zone;
+      });
+      EXPECT_TRUE(has_line || !warm_zones.contains(zone))
+          << "proxy " << proxy.value << " has no line of its zone " << zone.value << " at "
+          << (now - Instant{}).seconds();
+    }
+  }
+
   Settings s_;
   std::map<BackendId, KnownBackend> known_;
   std::map<ProxyId, Instant> joined_;
   std::map<ProxyId, TableId> bound_;
+  std::map<ProxyId, ZoneId> zones_;
   std::map<TableId, std::map<BackendId, double>> tables_;
   std::map<ProxyId, std::deque<Instant>> message_times_;
   int admission_orders_ = 0;
@@ -127,12 +158,13 @@
   int steps;
 };
 
-void run_sequence(std::uint32_t seed, Size size) {
+void run_sequence(std::uint32_t seed, Size size, bool zone_bound) {
   std::mt19937 rng{seed};
   const auto random_below = [&](int n) {
     return static_cast<int>(std::uniform_int_distribution<>{0, n - 1}(rng));
   };
   Settings s = settings(static_cast<AdmissionMode>(seed % 3));
+  s.operations[0].zone_bound = zone_bound;
   s.messages_most = seed % 4 == 0 ? 30 : 0;
   s.removal_binds = seed % 2 == 0;
   s.proxies = size.proxies;
@@ -163,7 +195,7 @@
           present.insert(ProxyId{p}),
               events.emplace_back(
                   ProxyJoined{ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 1.0 + p % 7}),
-              model.join(now, ProxyId{p});
+              model.join(now, ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)});
       }
     }
     if (random_below(12) == 0) {  // one backend or many; a fifth never change
@@ -212,7 +244,17 @@
 TEST(PolicyLimits, HoldOnGeneratedSequences) {
   for (std::uint32_t seed = 1; seed <= 24; ++seed) {
     SCOPED_TRACE(seed);
-    run_sequence(seed, seed % 8 == 0 ? Size{300, 200, 160} : Size{15, 20, 400});
+    run_sequence(seed, seed % 8 == 0 ? Size{300, 200, 160} : Size{15, 20, 400}, false);
+    if (HasFailure()) return;
+  }
+}
+
+// Guards against subsets that lose their last line of a zone, in every order of drains, withdrawals,
+// partitions and restarts that the generator finds. 36 backends make two or three subsets.
+TEST(PolicyLimits, HoldOnGeneratedSequencesWithAZoneBoundOperation) {
+  for (std::uint32_t seed = 1; seed <= 48; ++seed) {
+    SCOPED_TRACE(seed);
+    run_sequence(seed, seed % 8 == 0 ? Size{300, 200, 160} : Size{36, 30, 400}, true);
     if (HasFailure()) return;
   }
 }
--- a/tests/streams/policy_host_test.cpp
+++ b/tests/streams/policy_host_test.cpp
@@ -119,6 +119,27 @@
   EXPECT_EQ(fixture.proxies.messages, 8);  // one update each
 }
 
+// The state line tells of a zone whose proxies have no line of their zone, if an operation is bound to it.
+TEST(PolicyHost, ZonesWithoutALineAreReportedIfAnOperationIsBoundToTheZone) {
+  for (const bool zone_bound : {true, false}) {
+    Json changed = config();
+    changed["family-info"]["zone-bound"] = {zone_bound, false};
+    const Fields settings{changed, "settings"};
+    PolicyHost host{read_settings(settings), read_id_names(settings), 5, Instant{}, {Span{}, Span{}}};
+    auto backends = list();
+    std::erase_if(backends.rows, [](const auto& row) { return row.zone == "b"; });
+    host.handle_list(backends, true);
+    for (std::uint16_t proxy = 0; proxy < 8; ++proxy) {
+      const std::string zone(1, static_cast<char>('a' + proxy % 3));
+      ASSERT_EQ(host.join(proxy + 1U, {proxy, zone, 5, true}).refusal, nullptr);
+    }
+    (void)host.step(Instant::at_seconds(1));
+    EXPECT_EQ(host.take_stats().without_zone_line, zone_bound ? "b:3" : "");
+    host.leave(2);  // proxy 1, of zone b
+    EXPECT_EQ(host.take_stats().without_zone_line, zone_bound ? "b:2" : "");
+  }
+}
+
 TEST(PolicyHost, SecondJoinBeforeTheOldCloseIsALeaveThenAJoin) {
   Fixture fixture;
   fixture.host.handle_list(list(), true);
