Assign the new backends of one list in time linear in their number

A list of the largest size that is read (4 MiB, some 40,000 rows) with new names stopped the event loop, with more than one subset.

Change: the weights by subset and zone are collected once for a list and kept up to date while its rows are read; they stand in a module of their own, subset_weights. The choice is the same.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -18,6 +18,7 @@
 #include <set>
 #include <utility>
 
+#include "policy/subset_weights.hpp"
 #include "policy/zone_fallback.hpp"
 
 namespace gorsemount {
@@ -256,6 +257,7 @@
     std::set<BackendId> removed;
     if (e.scope != ListScope::delta)
       for (const auto& [id, b] : backends) removed.insert(id);
+    std::optional<SubsetWeights> subset_weights;  // collected for the first new backend, then kept up to date
     for (const auto& entry : e.entries) {
       if (entry.availability == Availability::gone) {
         removed.insert(entry.backend);
@@ -263,14 +265,17 @@
       }
       removed.erase(entry.backend);
       const bool unknown = !backends.contains(entry.backend);
-      const std::size_t subset = unknown ? lightest_subset(entry.zone) : 0;
+      if (unknown && subset_count > 1 && !subset_weights) subset_weights = collect_subset_weights();
       Backend& b = backends[entry.backend];
-      if (unknown) b.subset = subset;
+      if (subset_weights && !unknown && ready(b))
+        subset_weights->remove(b.entry.zone, b.subset, b.entry.weight);
+      if (subset_weights && unknown) b.subset = subset_weights->lightest(entry.zone);
       if (auto state = restored.extract(entry.backend); unknown && state) b.control = state.mapped();
       // Samples of the previous process say nothing about the restarted one.
       if (!unknown && entry.started && b.entry.started != entry.started) b.control = {}, b.samples.clear();
       b.entry = entry, b.unlisted = false;
       if (entry.weight <= 0) b.entry.weight = 1;
+      if (subset_weights && ready(b)) subset_weights->add(b.entry.zone, b.subset, b.entry.weight);
     }
     // Where removal is not binding, answers from a backend outweigh the list: the backend stays until
     // it fails.
@@ -284,18 +289,14 @@
     }
   }
 
-  // Returns the subset with the least weight in the zone, then in total. If a fleet is replaced backend
-  // by backend its size stays the same; assigning by size would put all new backends into one subset and
-  // drain the others.
-  std::size_t lightest_subset(ZoneId zone) const {
-    if (subset_count < 2) return 0;
-    std::vector<std::pair<double, double>> weights(subset_count);
-    for (const auto& [id, b] : backends) {
-      if (!ready(b)) continue;
-      if (b.entry.zone == zone) weights[b.subset].first += b.entry.weight;
-      weights[b.subset].second += b.entry.weight;
-    }
-    return static_cast<std::size_t>(std::min_element(weights.begin(), weights.end()) - weights.begin());
+  // A new backend goes to the subset with the least weight in its zone. If a fleet is replaced backend by
+  // backend its size stays the same; assigning by size would put all new backends into one subset and drain
+  // the others.
+  SubsetWeights collect_subset_weights() const {
+    SubsetWeights weights{subset_count};
+    for (const auto& [id, b] : backends)
+      if (ready(b)) weights.add(b.entry.zone, b.subset, b.entry.weight);
+    return weights;
   }
 
   void on_event(const ProxyJoined& e) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "helpers.hpp"
+#include "support/thread_time.hpp"
 
 namespace gorsemount::testing {
 
@@ -241,6 +242,32 @@
   }
 }
 
+// Guards against a list whose cost grows with the square of its new backends: a list of the largest size that
+// discovery may send stopped the event loop for 14 s.
+TEST(Subsets, AListOfManyNewBackendsIsHandledInTime) {
+  constexpr unsigned kNewBackends = 40'000;  // about 4 MiB in discovery's form
+  Settings s = settings();
+  s.proxies = 20, s.coordinators = 1;
+  s.push_rate = s.backlog = 1e9;
+  Policy policy{s, 7};
+  BackendListUpdate first{ListScope::cached, {}}, second{ListScope::delta, {}};
+  for (unsigned k = 0; k < 30; ++k) first.entries.push_back(PolicyFixture::entry(k));
+  for (unsigned k = 0; k < kNewBackends; ++k) second.entries.push_back(PolicyFixture::entry(1000 + k));
+  std::vector<Event> start{first};
+  for (std::uint16_t p = 0; p < 20; ++p)
+    start.emplace_back(ProxyJoined{ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 1.0});
+  const auto tables_of = [](const std::vector<Order>& orders) {
+    std::map<TableId, int> lines;
+    for (const auto& order : orders)
+      if (const auto* change = std::get_if<SetWeight>(&order)) ++lines[change->table];
+    return lines;
+  };
+  ASSERT_EQ(tables_of(policy.handle(Instant::at_seconds(50), start)).size(), 2U);
+  std::vector<Order> orders;
+  const Span spent = thread_time([&] { orders = policy.handle(Instant::at_seconds(51), {second}); });
+  EXPECT_LT(spent, kMaxReadTime) << spent.seconds() << " s";
+}
+
 TEST(Admission, OverloadLimitsTheLeastBilledOperationFirstAndIsLifted) {
   PolicyFixture b{settings()};
   b.rounds(2, [](unsigned, BackendReport& r) { r.utilization = 1.0, r.mean_latency = Span::seconds(0.6); });
