Go on with orders for tables whose proxies wait to be bound anew

Found while looking for the ways in which proxies lose their lines: after a new partition, or when a failing link has recovered, some tables are wanted no more, and nothing was ordered for them. Proxies stay bound to them until the channel has room for a whole new table.

Change: a table that proxies still use keeps its lines as far as their backends may keep them; removals go at once as in other tables, and a table that would be left without a warm line, or without one of a zone that an operation is bound to, gets them from the present subset.

Subsets.ProxiesThatWaitForANewTableHearOfDrains failed before and passes now.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -235,6 +235,7 @@
   bool limiting = false;  // some admission limit is below full
 
   std::map<TableId, Table> wanted_tables, sent_tables;
+  std::map<TableId, Table> retired_tables;  // wanted no more, with proxies that are still bound to them
   std::map<ProxyId, Proxy> proxies;
   // Zones of the joined proxies, if an operation is bound to the proxy's zone; else empty.
   std::set<ZoneId> zones_to_serve;
@@ -594,6 +595,7 @@
 
   void compute_tables() {
     wanted_tables.clear();
+    retired_tables.clear();
     if (subset_count == 0) return;
     std::vector<double> warm_weights(subset_count, 0);
     for (const auto& [id, b] : backends) {
@@ -629,6 +631,34 @@
         keep_line_of_zone(wanted_tables[table_id(k)].weights, zone, k, fallback_by_zone);
     compute_link_tables(fallback_by_zone);
     for (auto& [id, table] : wanted_tables) table.admissions = wanted_admissions;
+    compute_retired_tables(fallback_by_zone);
+  }
+
+  // Proxies of a table that isn't wanted any more, after a new partition or when a link has recovered, use it
+  // until the channel has room to bind them to another. Until then its lines stay as far as their backends
+  // may keep them, and its proxies are left without a line as little as others.
+  void compute_retired_tables(ZoneFallback& fallback) {
+    std::set<TableId> used;
+    for (const auto& [id, p] : proxies)
+      if (p.bound && !wanted_tables.contains(*p.bound)) used.insert(*p.bound);
+    for (const TableId number : used) {
+      Table table{{}, wanted_admissions, {}, {}, 0};
+      bool has_warm_line = false;
+      for (const auto& [id, weight] : sent_tables[number].weights) {
+        const auto b = backends.find(id);
+        if (b == backends.end() || !ready(b->second)) continue;
+        const double start_factor = slow_start_factor(b->second);
+        if (start_factor <= 0) continue;
+        table.weights[id] =
+            start_factor < 1 ? std::min(weight, b->second.entry.weight * start_factor) : weight;
+        has_warm_line = has_warm_line || start_factor >= 1;
+      }
+      const std::size_t subset = number.value % kTablesPerZone % subset_count;
+      const auto& other_lines = wanted_tables[table_id(subset)].weights;
+      if (!has_warm_line) table.weights.insert(other_lines.begin(), other_lines.end());
+      for (const ZoneId zone : zones_to_serve) keep_line_of_zone(table.weights, zone, subset, fallback);
+      retired_tables[number] = std::move(table);
+    }
   }
 
   ZoneFallback collect_zone_fallback() {
@@ -864,6 +894,7 @@
       send_table(number, wanted_table, true);
       waiting.emplace_back(sent_tables[number].last_sent, number);
     }
+    for (const auto& [number, table] : retired_tables) send_table(number, table, true);
     std::sort(waiting.begin(), waiting.end());
     for (const auto& [last, number] : waiting) send_table(number, wanted_tables[number], false);
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -242,6 +242,70 @@
   }
 }
 
+// Guards against proxies that keep a table for which nothing is ordered any more: after a new partition they
+// wait for room in the channel to be bound anew, and meanwhile a backend of their former table drains.
+TEST(Subsets, ProxiesThatWaitForANewTableHearOfDrains) {
+  constexpr unsigned kBackends = 200, kBackendsLeft = 80;
+  constexpr std::uint16_t kProxies = 2400;  // all proxies of five coordinators come to this one
+  Settings s = settings();
+  s.proxies = kProxies, s.coordinators = 5;
+  s.push_rate = 5600, s.backlog = 11200, s.per_message = 4;
+  Policy policy{s, 7};
+  Instant now = Instant::at_seconds(1000);
+  std::map<TableId, std::map<BackendId, double>> tables;
+  std::map<ProxyId, TableId> bound;
+  const auto send = [&](const std::vector<Event>& events) {
+    for (const auto& order : policy.handle(now, events)) {
+      if (const auto* change = std::get_if<SetWeight>(&order)) {
+        tables[change->table][change->backend] = change->weight;
+        if (change->weight <= 0) tables[change->table].erase(change->backend);
+      } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
+        bound[bind->proxy] = bind->table;
+      }
+    }
+  };
+  const auto wait = [&](double seconds) {
+    for (double passed = 0; passed < seconds; passed += 0.25)
+      now = now + Span::seconds(0.25), send({TimerFired{}});
+  };
+  BackendListUpdate first{ListScope::cached, {}};
+  for (unsigned k = 0; k < kBackends; ++k) first.entries.push_back(PolicyFixture::entry(k));
+  std::vector<Event> start{first};
+  for (std::uint16_t p = 0; p < kProxies; ++p)
+    start.emplace_back(ProxyJoined{ProxyId{p}, ZoneId{static_cast<std::uint16_t>(p % 3)}, 2.3});
+  send(start);
+  wait(60);
+  ASSERT_EQ(bound.size(), kProxies);
+  ASSERT_EQ(tables.size(), 16U);
+  // The fleet shrinks slowly until it is partitioned anew, which binds some proxies at once.
+  std::set<TableId> waiting;
+  for (unsigned k = kBackends; k > kBackendsLeft && waiting.empty(); --k) {
+    wait(1);
+    const auto before = bound;
+    send({BackendListUpdate{ListScope::delta, {PolicyFixture::entry(k - 1, Availability::gone)}}});
+    if (before == bound) continue;
+    for (const auto& [proxy, table] : bound)
+      if (table.value >= 7) waiting.insert(table);
+  }
+  ASSERT_FALSE(waiting.empty()) << "no proxy waits for its new table";
+  // One of the former table's backends that are still listed.
+  const auto& former_lines = tables.at(*waiting.begin());
+  const auto listed = std::find_if(former_lines.begin(), former_lines.end(),
+                                   [](const auto& line) { return line.first.value < 100 + kBackendsLeft; });
+  ASSERT_NE(listed, former_lines.end());
+  const BackendId draining = listed->first;
+  send({BackendListUpdate{ListScope::delta,
+                          {PolicyFixture::entry(draining.value - 100, Availability::draining)}}});
+  wait(0.75 * s.drain_grace.seconds());
+  for (const auto& [proxy, table] : bound) {
+    for (const auto& [backend, weight] : tables.at(table))
+      EXPECT_NE(backend, draining) << "proxy " << proxy.value << " of table " << table.value;
+    EXPECT_FALSE(tables.at(table).empty()) << "proxy " << proxy.value;
+  }
+  wait(60);
+  for (const auto& [proxy, table] : bound) EXPECT_LT(table.value, 7);
+}
+
 // Guards against a list whose cost grows with the square of its new backends: a list of the largest size that
 // discovery may send stopped the event loop for 14 s.
 TEST(Subsets, AListOfManyNewBackendsIsHandledInTime) {
