Count only warm lines as a zone's last, and split the orders of a table by urgency

Needed lines that didn't fit also kept the removals back.

Change: send_table is split. changes_of() tells required, needed and deferrable changes apart, send_order() records one; needed lines go with the removals if both fit and else after them. Tables that wait to be replaced take a cold backend's weight from its start alone, so that it isn't reduced again in each pass.

ZoneBound.AColdLineDoesNotDelayTheReplacingLine and ZoneBound.LinesOfVanishingWeightAreNoError failed before. TheReplacingLineDoesNotWaitForRoomInTheChannel fills the channel now; it and the former fail without take_needed_lines().

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -649,18 +649,23 @@
         if (b == backends.end() || !ready(b->second)) continue;
         const double start_factor = slow_start_factor(b->second);
         if (start_factor <= 0) continue;
-        table.weights[id] =
-            start_factor < 1 ? std::min(weight, b->second.entry.weight * start_factor) : weight;
+        table.weights[id] = start_factor < 1 ? b->second.entry.weight * start_factor : weight;
         has_warm_line = has_warm_line || start_factor >= 1;
       }
       const std::size_t subset = number.value % kTablesPerZone % subset_count;
       const auto& other_lines = wanted_tables[table_id(subset)].weights;
       if (!has_warm_line) table.weights.insert(other_lines.begin(), other_lines.end());
-      for (const ZoneId zone : zones_to_serve) keep_line_of_zone(table.weights, zone, subset, fallback);
+      for (const ZoneId zone : zones_to_serve)
+        if (serves(number, zone)) keep_line_of_zone(table.weights, zone, subset, fallback);
       retired_tables[number] = std::move(table);
     }
   }
 
+  // Whether the table must have a line of the zone: it has proxies there that an operation is bound to.
+  [[nodiscard]] bool serves(TableId table, ZoneId zone) const {
+    return zone_of(table).value_or(zone) == zone && zones_to_serve.contains(zone);
+  }
+
   ZoneFallback collect_zone_fallback() {
     ZoneFallback fallback;
     zones_to_serve.clear();
@@ -803,85 +808,107 @@
     return std::min(0.5 * settings.backlog, 0.2 * settings.drain_grace.seconds() * settings.push_rate);
   }
 
-  // Makes deferred lines required if without them the table's proxies would be left with no line, or with
-  // none for an operation that is bound to their zone.
-  void promote_needed_lines(TableId number, const Table& have, std::vector<Order>& required,
-                            std::vector<Order>& deferred) {
-    std::set<BackendId> removed;
-    for (const auto& order : required)
-      if (const auto* change = std::get_if<SetWeight>(&order); change != nullptr && change->weight <= 0)
-        removed.insert(change->backend);
-    std::set<ZoneId> zones_left;
-    for (const auto& [id, weight] : have.weights)
-      if (!removed.contains(id)) zones_left.insert(backends.at(id).entry.zone);
-    const auto table_zone = zone_of(number);
-    const auto needed = [&](const Order& order) {
-      const auto* change = std::get_if<SetWeight>(&order);
-      if (change == nullptr || change->weight <= 0) return false;
-      const ZoneId zone = backends.at(change->backend).entry.zone;
-      const bool served = table_zone ? zone == *table_zone : zones_to_serve.contains(zone);
-      return zones_left.empty() || (!zones_to_serve.empty() && served && !zones_left.contains(zone));
-    };
-    const auto first_needed =
-        std::stable_partition(deferred.begin(), deferred.end(), [&](const Order& o) { return !needed(o); });
-    std::move(first_needed, deferred.end(), std::back_inserter(required));
-    deferred.erase(first_needed, deferred.end());
-  }
+  // The difference between a table and what was sent, by how long it may wait.
+  struct TableChanges {
+    std::vector<Order> required;    // removals and reductions of draining, gone or cold backends
+    std::vector<Order> needed;      // lines without which proxies would have none, see take_needed_lines()
+    std::vector<Order> deferrable;  // the rest waits until the channel has room
+  };
 
-  // Orders the difference between a table and what was sent. If the channel has no room, only required
-  // changes are ordered: removals and reductions of draining, gone or cold backends, and the lines without
-  // which proxies would have none.
-  void send_table(TableId number, const Table& wanted_table, bool forced) {
+  TableChanges changes_of(TableId number, const Table& wanted_table) {
     Table& have = sent_tables[number];
-    std::vector<Order> orders, deferred;
+    TableChanges changes;
     auto weights = wanted_table.weights;
     for (const auto& [id, weight] : have.weights) weights.try_emplace(id, 0);
     for (const auto& [id, weight] : weights) {
       const auto row = have.weights.find(id);
       const double previous = row == have.weights.end() ? 0 : row->second;
+      if (std::abs(previous - weight) <= 1e-9) continue;
       const auto b = backends.find(id);
       const bool required =
           weight < previous && (b == backends.end() || !ready(b->second) || slow_start_factor(b->second) < 1);
-      if (std::abs(previous - weight) > 1e-9)
-        (required ? orders : deferred).emplace_back(SetWeight{number, id, weight});
+      (required ? changes.required : changes.deferrable).emplace_back(SetWeight{number, id, weight});
     }
+    take_needed_lines(number, have, changes);
     have.admissions.resize(wanted_table.admissions.size(), Admission{RetryPolicy::none, -1});
     for (std::size_t k = 0; k < wanted_table.admissions.size(); ++k)
       if (const Admission& w = wanted_table.admissions[k], &h = have.admissions[k];
           h.retries != w.retries || std::abs(h.limit - w.limit) >= 0.03 * w.limit)
-        deferred.emplace_back(SetAdmission{number, operation_id(k), w.retries, w.limit});
-    promote_needed_lines(number, have, orders, deferred);
-    if (forced == orders.empty()) return;
+        changes.deferrable.emplace_back(SetAdmission{number, operation_id(k), w.retries, w.limit});
+    return changes;
+  }
 
+  // Takes out of the deferrable changes the lines without which the table's proxies would be left with no
+  // line or no warm one, or with no warm one for an operation that is bound to their zone.
+  void take_needed_lines(TableId number, const Table& have, TableChanges& changes) const {
+    std::set<BackendId> removed;
+    for (const auto& order : changes.required)
+      if (const auto* change = std::get_if<SetWeight>(&order); change != nullptr && change->weight <= 0)
+        removed.insert(change->backend);
+    bool any_line_left = false;
+    std::set<ZoneId> warm_zones_left;
+    for (const auto& [id, weight] : have.weights) {
+      const auto b = backends.find(id);
+      if (b == backends.end() || removed.contains(id)) continue;
+      any_line_left = true;
+      if (slow_start_factor(b->second) >= 1) warm_zones_left.insert(b->second.entry.zone);
+    }
+    const auto needed = [&](const Order& order) {
+      const auto* change = std::get_if<SetWeight>(&order);
+      if (change == nullptr || change->weight <= 0) return false;
+      if (!any_line_left) return true;
+      const Backend& b = backends.at(change->backend);
+      if (slow_start_factor(b) < 1 || warm_zones_left.contains(b.entry.zone)) return false;
+      return warm_zones_left.empty() || serves(number, b.entry.zone);
+    };
+    const auto first_needed = std::stable_partition(changes.deferrable.begin(), changes.deferrable.end(),
+                                                    [&](const Order& order) { return !needed(order); });
+    std::move(first_needed, changes.deferrable.end(), std::back_inserter(changes.needed));
+    changes.deferrable.erase(first_needed, changes.deferrable.end());
+  }
+
+  // Orders the changes of a table. `forced`: those that can't wait, with the others if the channel has room;
+  // otherwise those of a table where all can wait.
+  void send_table(TableId number, const Table& wanted_table, bool forced) {
+    const auto [required, needed, deferrable] = changes_of(number, wanted_table);
+    if (forced == (required.empty() && needed.empty())) return;
+
+    Table& have = sent_tables[number];
     auto& sent = have.message_times;
     while (!sent.empty() && now - sent.front() > settings.messages_window) sent.pop_front();
     const auto cost = [&](std::size_t n) {
       return have.proxy_count * (settings.per_message + static_cast<double>(n));
     };
+    const auto fits = [&](std::size_t n) {
+      return have.proxy_count <= 0 || current_backlog() + cost(n) <= 0.9 * settings.backlog;
+    };
     const bool interval_passed = now - have.last_sent >= Span::seconds(0.5);
     const bool under_cap =
         settings.messages_most == 0 || static_cast<double>(sent.size()) < 0.6 * settings.messages_most;
-    const bool room = current_backlog() + cost(orders.size() + deferred.size()) <=
+    const bool room = current_backlog() + cost(required.size() + needed.size() + deferrable.size()) <=
                       (forced ? 0.8 * settings.backlog : deferrable_backlog());
+    std::vector<Order> orders = required;
+    if (fits(required.size() + needed.size())) orders.insert(orders.end(), needed.begin(), needed.end());
     if (have.proxy_count <= 0 || (room && (forced || (interval_passed && under_cap))))
-      orders.insert(orders.end(), deferred.begin(), deferred.end());
-    if (orders.empty() ||
-        (have.proxy_count > 0 && current_backlog() + cost(orders.size()) > 0.9 * settings.backlog))
-      return;
+      orders.insert(orders.end(), deferrable.begin(), deferrable.end());
+    if (orders.empty() || !fits(orders.size())) return;
     if (have.proxy_count > 0) sent.push_back(now), have.last_sent = now;
     channel_backlog = current_backlog() + cost(orders.size()), channel_backlog_at = now;
-    for (const auto& order : orders) {
-      out.push_back(order);
-      if (const auto* admission = std::get_if<SetAdmission>(&order))
-        have.admissions[admission->operation.value] = {admission->retries, admission->limit};
-      const auto* change = std::get_if<SetWeight>(&order);
-      if (change == nullptr) continue;
-      have.weights[change->backend] = change->weight;
-      if (change->weight <= 0) have.weights.erase(change->backend);
-      const auto b = backends.find(change->backend);
-      if (b != backends.end() && number == table_id(b->second.subset))
-        b->second.weight_changed = now, b->second.table_weight = change->weight;
-    }
+    for (const auto& order : orders) send_order(number, order);
+  }
+
+  void send_order(TableId number, const Order& order) {
+    Table& have = sent_tables[number];
+    out.push_back(order);
+    if (const auto* admission = std::get_if<SetAdmission>(&order))
+      have.admissions[admission->operation.value] = {admission->retries, admission->limit};
+    const auto* change = std::get_if<SetWeight>(&order);
+    if (change == nullptr) return;
+    have.weights[change->backend] = change->weight;
+    if (change->weight <= 0) have.weights.erase(change->backend);
+    const auto b = backends.find(change->backend);
+    if (b != backends.end() && number == table_id(b->second.subset))
+      b->second.weight_changed = now, b->second.table_weight = change->weight;
   }
 
   // Required changes first, then the tables that have waited longest.
--- a/tests/policy/zone_bound_test.cpp
+++ b/tests/policy/zone_bound_test.cpp
@@ -1,5 +1,6 @@
 // Operations that only backends in the proxy's zone may serve: every proxy keeps a line of its zone while the
 // zone has a ready, warm backend, in whichever way its subset loses its own.
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -29,6 +30,13 @@
   return s;
 }
 
+// A channel in which the tables of all proxies leave room for removals and needed lines, not for the rest.
+Settings full_channel_settings() {
+  Settings s = zone_bound_settings();
+  s.backlog = 1180;  // 40 tables of 23 lines are 920: at most 944 with the rest, 1062 with what can't wait
+  return s;
+}
+
 // A fleet of three backends in each of ten zones, which is partitioned into two subsets, and four proxies in
 // each zone. Keeps the tables that the orders have set up.
 class ZonedFleet {
@@ -61,6 +69,15 @@
       }
     }
   }
+  // All proxies come again at once, and their tables fill the channel.
+  void rejoin_all() {
+    std::vector<Event> events;
+    for (std::uint16_t p = 0; p < kProxies; ++p) events.emplace_back(ProxyLeft{ProxyId{p}});
+    for (std::uint16_t p = 0; p < kProxies; ++p)
+      events.emplace_back(ProxyJoined{ProxyId{p}, zone_of_proxy(ProxyId{p}), 2.3});
+    bound.clear();
+    send(events);
+  }
   void set(BackendId id, Availability availability, std::optional<Instant> started = {}) {
     auto& entry = fleet.at(id);
     entry.availability = availability, entry.started = started;
@@ -270,16 +287,62 @@
 
 // The line that replaces the last one is as urgent as the removal: it doesn't wait for room in the channel.
 TEST(ZoneBound, TheReplacingLineDoesNotWaitForRoomInTheChannel) {
-  Settings s = zone_bound_settings();
-  s.drain_grace = Span::seconds(0.05);  // leaves next to no room for changes that can wait
-  ZonedFleet f{s};
+  ZonedFleet f{full_channel_settings()};
   f.start();
-  ASSERT_EQ(f.bound.size(), kProxies);
   f.wait(8);
+  f.rejoin_all();
+  ASSERT_EQ(f.bound.size(), kProxies);
   f.set(f.sole_backend_of_a_zone(), Availability::draining);
   EXPECT_EQ(f.zones_without_line(), kNone);
 }
 
+// A cold line doesn't count as the zone's last one: the warm line that stands in for the drained backend
+// doesn't wait either.
+TEST(ZoneBound, AColdLineDoesNotDelayTheReplacingLine) {
+  ZonedFleet f{full_channel_settings()};
+  f.start();
+  for (int round = 0; round < 4; ++round) f.round(10, [](ZoneId, const auto&) { return 0; });
+  // The zone's other two backends, in one table: one starts anew, then the other drains.
+  const ZoneId zone = f.fleet.at(f.sole_backend_of_a_zone()).zone;
+  std::vector<BackendId> pair;
+  for (const auto& [table, lines] : f.tables) {
+    std::vector<BackendId> in_table;
+    for (const auto& [id, weight] : lines)
+      if (f.fleet.at(id).zone == zone) in_table.push_back(id);
+    if (in_table.size() == 2) pair = in_table;
+  }
+  ASSERT_EQ(pair.size(), 2U);
+  f.set(pair[0], Availability::ready, f.now);
+  for (int round = 0; round < 6; ++round) f.round(10, [](ZoneId, const auto&) { return 0; });
+  EXPECT_TRUE(std::any_of(f.tables.begin(), f.tables.end(), [&](const auto& table) {
+    return table.second.contains(pair[0]);
+  })) << "the started backend has no line yet";
+  f.rejoin_all();
+  ASSERT_EQ(f.bound.size(), kProxies);
+  f.set(pair[1], Availability::draining);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+  for (const auto& [proxy, table] : f.bound) {
+    if (zone_of_proxy(proxy) != zone || !f.tables.at(table).contains(pair[0])) continue;
+    EXPECT_LT(f.tables.at(table).at(pair[0]), 0.5 * f.zone_weight(proxy, zone)) << "proxy " << proxy.value;
+  }
+}
+
+// Weights come from discovery and may be as small as it likes; a line that is too small for an order to
+// remove it names a backend that the module no longer knows.
+TEST(ZoneBound, LinesOfVanishingWeightAreNoError) {
+  ZonedFleet f;
+  f.start();
+  const BackendId sole = f.sole_backend_of_a_zone();
+  for (const double weight : {2e-9, 0.9e-9}) {
+    f.fleet.at(sole).weight = weight;
+    f.set(sole, Availability::ready);
+    f.wait(1);
+  }
+  f.set(sole, Availability::gone);
+  f.wait(1);
+  EXPECT_EQ(f.zones_without_line(), kNone);
+}
+
 // Without such an operation the tables hold each backend once, as before.
 TEST(ZoneBound, WithoutSuchAnOperationNothingIsBorrowed) {
   Settings s = zone_bound_settings();
