Search each byte of a watch's partial line once

Watch::handle_response searched all of the partial line for its end with every piece that arrived.

Change: a call keeps how many bytes of its buffer have been searched.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -33,9 +33,10 @@
   std::shared_ptr<void> connect_attempt;
   std::shared_ptr<net::Connection> connection;
   net::HttpStream response;
-  std::string buffer;        // received part of a line, or of the full list
-  bool established = false;  // a watch that has received its first line, even an empty one
-  bool silent = false;       // no line within the silence timeout; a replacement is requested
+  std::string buffer;              // received part of a line, or of the full list
+  std::size_t searched_bytes = 0;  // of `buffer`, which hold no end of a line
+  bool established = false;        // a watch that has received its first line, even an empty one
+  bool silent = false;             // no line within the silence timeout; a replacement is requested
   net::Loop::Timer deadline;
 };
 
@@ -137,10 +138,13 @@
   call.buffer += call.response.take();
   if (call.is_watch) {
     std::size_t line_start = 0;
-    for (std::size_t end; (end = call.buffer.find('\n', line_start)) != std::string::npos;
-         line_start = end + 1)
+    std::size_t search_from = call.searched_bytes;
+    for (std::size_t end; (end = call.buffer.find('\n', search_from)) != std::string::npos;) {
       if (!handle_line(call, std::string_view{call.buffer}.substr(line_start, end - line_start))) return;
+      line_start = search_from = end + 1;
+    }
     call.buffer.erase(0, line_start);
+    call.searched_bytes = call.buffer.size();
     if (call.buffer.size() > kMaxBodyBytes) return resync("line exceeds the size limit");
     if (call.response.done()) end_call(call, "watch closed by the service");
   } else if (call.response.done()) {
--- a/tests/discovery/watch_test.cpp
+++ b/tests/discovery/watch_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 
 #include "net/http_stream.hpp"
+#include "support/thread_time.hpp"
 
 namespace gorsemount::discovery {
 namespace {
@@ -76,9 +77,9 @@
 }
 
 struct Fixture {
-  Fixture() {
+  explicit Fixture(Watch::Timeouts watch_timeouts = timeouts()) {
     watch = std::make_unique<Watch>(
-        loop, kEndpoint, timeouts(), 7,
+        loop, kEndpoint, watch_timeouts, 7,
         Watch::Callbacks{[this](BackendList l) { lists.push_back(std::move(l)); },
                          [this](const std::string& reason) { failures.push_back(reason); }});
   }
@@ -117,6 +118,33 @@
   EXPECT_TRUE(fixture.failures.empty());
 }
 
+// Guards against searching a partial line from its beginning for every piece that arrives.
+TEST(Watch, ALongLineInSmallPiecesIsReadInTime) {
+  constexpr std::size_t kPieceBytes = 200;
+  constexpr std::size_t kLineBytes = (4U << 20U) - 4096;  // below the limit with the rest of the list
+  Fixture fixture{Watch::Timeouts{}};
+  FakeService service{fixture.loop, kEndpoint};
+  service.respond = [](net::Connection& c) {
+    c.send(FakeService::head() + FakeService::chunk(list_json(1, true, "") + "\n"));
+  };
+  fixture.watch->subscribe();
+  fixture.run(0.05);
+  ASSERT_TRUE(fixture.watch->established());
+  const std::string line = list_json(2, false, row_json("s-2")) + std::string(kLineBytes, ' ') + "\n";
+  std::size_t sent = 0;
+  const std::function<void()> send_piece = [&] {
+    service.connection->send(FakeService::chunk(line.substr(sent, kPieceBytes)));
+    sent += kPieceBytes;
+    if (sent < line.size()) fixture.loop.call_soon(send_piece);
+  };
+  fixture.loop.call_soon(send_piece);
+  Span spent;
+  for (int run = 0; run < 50 && fixture.lists.size() < 2; ++run)
+    spent = spent + testing::thread_time([&] { fixture.run(0.1); });
+  EXPECT_EQ(fixture.lists.size(), 2U);
+  EXPECT_LT(spent, testing::kMaxReadTime) << spent.seconds() << " s";
+}
+
 TEST(Watch, EmptyLinesKeepItAliveAndSilenceExpiresIt) {
   Fixture fixture;
   FakeService service{fixture.loop, kEndpoint};
