Count the proxies of each table once a pass, before the tables are computed

Change: the counts that send_changes() makes are made first and used by both; a table without deferrable changes has no needed lines. Decisions are the same.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -593,6 +593,12 @@
     tries_per_weight.assign(subset_count, 0);
   }
 
+  void count_proxies_by_table() {
+    for (auto& [number, table] : sent_tables) table.proxy_count = 0;
+    for (const auto& [id, p] : proxies)
+      if (p.bound) ++sent_tables[*p.bound].proxy_count;
+  }
+
   void compute_tables() {
     wanted_tables.clear();
     retired_tables.clear();
@@ -638,13 +644,11 @@
   // until the channel has room to bind them to another. Until then its lines stay as far as their backends
   // may keep them, and its proxies are left without a line as little as others.
   void compute_retired_tables(ZoneFallback& fallback) {
-    std::set<TableId> used;
-    for (const auto& [id, p] : proxies)
-      if (p.bound && !wanted_tables.contains(*p.bound)) used.insert(*p.bound);
-    for (const TableId number : used) {
+    for (const auto& [number, have] : sent_tables) {
+      if (have.proxy_count <= 0 || wanted_tables.contains(number)) continue;
       Table table{{}, wanted_admissions, {}, {}, 0};
       bool has_warm_line = false;
-      for (const auto& [id, weight] : sent_tables[number].weights) {
+      for (const auto& [id, weight] : have.weights) {
         const auto b = backends.find(id);
         if (b == backends.end() || !ready(b->second)) continue;
         const double start_factor = slow_start_factor(b->second);
@@ -841,6 +845,7 @@
   // Takes out of the deferrable changes the lines without which the table's proxies would be left with no
   // line or no warm one, or with no warm one for an operation that is bound to their zone.
   void take_needed_lines(TableId number, const Table& have, TableChanges& changes) const {
+    if (changes.deferrable.empty()) return;
     std::set<BackendId> removed;
     for (const auto& order : changes.required)
       if (const auto* change = std::get_if<SetWeight>(&order); change != nullptr && change->weight <= 0)
@@ -913,9 +918,6 @@
 
   // Required changes first, then the tables that have waited longest.
   void send_changes() {
-    for (auto& [number, table] : sent_tables) table.proxy_count = 0;
-    for (const auto& [id, p] : proxies)
-      if (p.bound) ++sent_tables[*p.bound].proxy_count;
     std::vector<std::pair<Instant, TableId>> waiting;
     for (const auto& [number, wanted_table] : wanted_tables) {
       send_table(number, wanted_table, true);
@@ -969,6 +971,7 @@
     partition_backends();
     update_backends();
     update_zones();
+    count_proxies_by_table();
     compute_tables();
     send_changes();
     bind_proxies();
