Give operations that are bound to the proxy's zone tables of their own

Cause: a table served all operations, so what is bound to the zone went to backends of every zone: proxies pick from the table for the operation and know no zones.

Change: such operations have a table for each subset and zone, with the subset's backends of the zone; proxies are bound to it for these operations (the mask of subscribe-to, `routes` on sockets), in the same message as the shared table. Where no warm backend of the subset's zone has its full share, the zone's backends of another subset stand in at their full weight, since the table carries nothing else.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -25,9 +25,6 @@
 
 namespace {
 
-// Part of its listed weight that a line has where it only stands in for its zone: the operations that are
-// bound to the zone have no other line, and the rest of the traffic hardly uses it.
-constexpr double kFallbackWeight = 0.01;
 constexpr double kUnlimitedRate = 1e6;  // above any proxy's rate: admits everything
 constexpr std::size_t kMaxSamples = 8;  // longest look-back, in report rounds (a zone needs 200 tries)
 // Shorter than all timers below, far above the host's clock resolution.
@@ -151,7 +148,8 @@
   ZoneId zone;
   double rate = 0;  // usual invocations a second
   std::optional<std::size_t> subset;
-  std::optional<TableId> bound;
+  std::optional<TableId> bound;             // for the operations that any zone may serve
+  std::optional<TableId> zone_bound_table;  // for those that only the proxy's zone may serve
 };
 
 struct Admission {
@@ -159,16 +157,19 @@
   double limit = 1;
 };
 
-// Ids below 1000 are the subset tables; above are the tables of a zone whose proxies avoid a failing link
-// (`zone_number` is 1 + zone).
+// Ids below kTablesPerZone are the subset tables, for all zones. Above them each zone has as many: first the
+// tables of its proxies while they avoid a failing link, then those for the operations bound to the zone.
 constexpr std::uint16_t kTablesPerZone = 1000;
-TableId table_id(std::size_t subset, std::size_t zone_number = 0) {
-  return TableId{static_cast<std::uint16_t>(kTablesPerZone * zone_number + subset)};
+constexpr std::uint16_t kMaxSubsets = kTablesPerZone / 2;
+TableId table_id(std::size_t subset) { return TableId{static_cast<std::uint16_t>(subset)}; }
+TableId link_table_id(std::size_t subset, ZoneId zone) {
+  return TableId{static_cast<std::uint16_t>(kTablesPerZone * (1 + zone.value) + subset)};
 }
-// The zone whose proxies the table is for; empty for a subset table.
-std::optional<ZoneId> zone_of(TableId table) {
-  if (table.value < kTablesPerZone) return {};
-  return ZoneId{static_cast<std::uint16_t>(table.value / kTablesPerZone - 1)};
+TableId zone_bound_table_id(std::size_t subset, ZoneId zone) {
+  return TableId{static_cast<std::uint16_t>(link_table_id(subset, zone).value + kMaxSubsets)};
+}
+bool is_zone_bound(TableId table) {
+  return table.value >= kTablesPerZone && table.value % kTablesPerZone >= kMaxSubsets;
 }
 
 struct Table {
@@ -186,10 +187,11 @@
       : settings{std::move(initial)}, rng{static_cast<std::uint32_t>(seed)} {
     report_interval = settings.report_every.seconds();
     arrived.resize(settings.operations.size()), arrival_ratios.resize(settings.operations.size());
-    for (const auto& operation : settings.operations) {
+    for (std::size_t k = 0; k < settings.operations.size(); ++k) {
+      const Operation& operation = settings.operations[k];
       mean_objective +=
           operation.latency_objective.seconds() / static_cast<double>(settings.operations.size());
-      has_zone_bound_operations = has_zone_bound_operations || operation.zone_bound;
+      (operation.zone_bound ? zone_bound_operations : other_operations).push_back(operation_id(k));
     }
   }
 
@@ -199,7 +201,7 @@
   [[nodiscard]] bool ready(const Backend& b) const { return b.entry.availability == Availability::ready; }
 
   Settings settings;
-  bool has_zone_bound_operations = false;
+  std::vector<OperationId> zone_bound_operations, other_operations;
   std::mt19937 rng;
   Instant now;
   std::vector<Order> out;
@@ -237,8 +239,6 @@
   std::map<TableId, Table> wanted_tables, sent_tables;
   std::map<TableId, Table> retired_tables;  // wanted no more, with proxies that are still bound to them
   std::map<ProxyId, Proxy> proxies;
-  // Zones of the joined proxies, if an operation is bound to the proxy's zone; else empty.
-  std::set<ZoneId> zones_to_serve;
   std::size_t subset_count = 0;  // 0: not partitioned yet
   bool subscribed = false;
   std::optional<Instant> first_join, next_subscribe, next_wake;
@@ -301,7 +301,7 @@
   }
 
   void on_event(const ProxyJoined& e) {
-    proxies[e.proxy] = Proxy{e.zone, e.usual_rate, {}, {}};
+    proxies[e.proxy] = Proxy{e.zone, e.usual_rate, {}, {}, {}};
     if (!first_join) first_join = now;
   }
 
@@ -576,8 +576,8 @@
     // Below 12 backends the loss of a cell or a machine type affects the subsets too unevenly; below
     // 5 proxies per table there are too many tables.
     const double subset_size = rate > 0 ? std::max(12.0, std::min(in_use, in_time)) : n;
-    const auto fit =
-        static_cast<std::size_t>(std::max(1.0, std::min(n / subset_size, std::max(expected, size) / 5)));
+    const double subsets = std::min(n / subset_size, std::max(expected, size) / 5);
+    const auto fit = static_cast<std::size_t>(std::clamp(subsets, 1.0, double{kMaxSubsets}));
     // A new partition resends every table.
     if (subset_count != 0 && fit <= 2 * subset_count && 2 * fit >= subset_count) return;
     subset_count = fit;
@@ -596,7 +596,8 @@
   void count_proxies_by_table() {
     for (auto& [number, table] : sent_tables) table.proxy_count = 0;
     for (const auto& [id, p] : proxies)
-      if (p.bound) ++sent_tables[*p.bound].proxy_count;
+      for (const auto& table : {p.bound, p.zone_bound_table})
+        if (table) ++sent_tables[*table].proxy_count;
   }
 
   void compute_tables() {
@@ -622,28 +623,83 @@
     auto fallback = wanted_tables[table_id(static_cast<std::size_t>(warmest - warm_weights.begin()))].weights;
     for (std::size_t k = 0; k < subset_count; ++k)
       if (warm_weights[k] <= 0) wanted_tables[table_id(k)].weights.insert(fallback.begin(), fallback.end());
-    // A small increase waits until it is worth a message; a decrease does not.
-    for (auto& [table, wanted_table] : wanted_tables)
-      for (auto& [id, weight] : wanted_table.weights) {
-        const auto row = sent_tables[table].weights.find(id);
-        const double previous = row == sent_tables[table].weights.end() ? 0 : row->second;
-        const bool restoring = slow_start_factor(backends[id]) < 1 || backends[id].control.share < 1;
-        if (restoring && weight > previous && weight < 1.2 * previous) weight = previous;
-      }
     if (wanted_admissions.empty()) compute_admissions();
-    ZoneFallback fallback_by_zone = collect_zone_fallback();
-    for (std::size_t k = 0; k < subset_count; ++k)
-      for (const ZoneId zone : zones_to_serve)
-        keep_line_of_zone(wanted_tables[table_id(k)].weights, zone, k, fallback_by_zone);
-    compute_link_tables(fallback_by_zone);
+    for (std::size_t k = 0; k < subset_count; ++k) hold_small_increases(table_id(k));
+    compute_link_tables();
+    compute_zone_bound_tables();
     for (auto& [id, table] : wanted_tables) table.admissions = wanted_admissions;
-    compute_retired_tables(fallback_by_zone);
+    compute_retired_tables();
+  }
+
+  // A small increase waits until it is worth a message; a decrease does not.
+  void hold_small_increases(TableId number) {
+    const auto& sent = sent_tables[number].weights;
+    for (auto& [id, weight] : wanted_tables[number].weights) {
+      const auto row = sent.find(id);
+      const double previous = row == sent.end() ? 0 : row->second;
+      const bool restoring = slow_start_factor(backends[id]) < 1 || backends[id].control.share < 1;
+      if (restoring && weight > previous && weight < 1.2 * previous) weight = previous;
+    }
+  }
+
+  // While a link of a zone has a reduced share, the proxies of that zone get a table of their own, provided
+  // that it keeps warm backends.
+  void compute_link_tables() {
+    for (const auto& [key, link] : links) {
+      if (link.control.at_full_share()) continue;
+      for (std::size_t k = 0; k < subset_count; ++k) {
+        Table zone_table{wanted_tables[table_id(k)].weights, {}, {}, {}, 0};
+        double remaining = 0;
+        for (auto& [id, weight] : zone_table.weights) {
+          weight *= links[{key.first, backends[id].entry.zone}].control.share;
+          if (slow_start_factor(backends[id]) >= 1) remaining += weight;
+        }
+        std::erase_if(zone_table.weights, [](const auto& row) { return row.second <= 0; });
+        if (remaining > 0) wanted_tables[link_table_id(k, key.first)] = std::move(zone_table);
+      }
+    }
+  }
+
+  // The operations that only the proxy's zone may serve have a table for each subset and zone, with the
+  // subset's backends of the zone. The shares of the zone and of its links don't count there, since this
+  // traffic has nowhere else to go. Where no warm backend has its full share, others of the zone stand in.
+  void compute_zone_bound_tables() {
+    if (zone_bound_operations.empty()) return;
+    std::set<ZoneId> zones_to_serve;
+    for (const auto& [id, p] : proxies) zones_to_serve.insert(p.zone);
+    struct Lines {
+      bool warm = false, at_full_share = false;
+    };
+    std::map<TableId, Lines> lines_by_table;
+    ZoneFallback fallback;
+    for (const auto& [id, b] : backends) {
+      const double start_factor = ready(b) ? slow_start_factor(b) : 0;
+      if (start_factor <= 0 || !zones_to_serve.contains(b.entry.zone)) continue;
+      const bool warm = start_factor >= 1;
+      if (warm) fallback.add({id, b.entry.zone, b.subset, b.entry.weight, b.control.share});
+      if (b.control.share <= 0) continue;
+      const TableId number = zone_bound_table_id(b.subset, b.entry.zone);
+      wanted_tables[number].weights[id] = b.entry.weight * b.control.share * start_factor;
+      Lines& lines = lines_by_table[number];
+      lines.warm = lines.warm || warm;
+      lines.at_full_share = lines.at_full_share || (warm && b.control.at_full_share());
+    }
+    for (const ZoneId zone : zones_to_serve)
+      for (std::size_t k = 0; k < subset_count; ++k) {
+        const TableId number = zone_bound_table_id(k, zone);
+        auto& weights = wanted_tables[number].weights;
+        const Lines& lines = lines_by_table[number];
+        if (!lines.at_full_share)
+          for (const auto& candidate : fallback.choose(zone, k, lines.warm))
+            weights[candidate.backend] = candidate.weight * (candidate.share > 0 ? candidate.share : 1);
+        hold_small_increases(number);
+      }
   }
 
   // Proxies of a table that isn't wanted any more, after a new partition or when a link has recovered, use it
   // until the channel has room to bind them to another. Until then its lines stay as far as their backends
   // may keep them, and its proxies are left without a line as little as others.
-  void compute_retired_tables(ZoneFallback& fallback) {
+  void compute_retired_tables() {
     for (const auto& [number, have] : sent_tables) {
       if (have.proxy_count <= 0 || wanted_tables.contains(number)) continue;
       Table table{{}, wanted_admissions, {}, {}, 0};
@@ -656,66 +712,17 @@
         table.weights[id] = start_factor < 1 ? b->second.entry.weight * start_factor : weight;
         has_warm_line = has_warm_line || start_factor >= 1;
       }
-      const std::size_t subset = number.value % kTablesPerZone % subset_count;
-      const auto& other_lines = wanted_tables[table_id(subset)].weights;
+      const auto& other_lines = wanted_tables[replacement_of(number)].weights;
       if (!has_warm_line) table.weights.insert(other_lines.begin(), other_lines.end());
-      for (const ZoneId zone : zones_to_serve)
-        if (serves(number, zone)) keep_line_of_zone(table.weights, zone, subset, fallback);
       retired_tables[number] = std::move(table);
     }
   }
 
-  // Whether the table must have a line of the zone: it has proxies there that an operation is bound to.
-  [[nodiscard]] bool serves(TableId table, ZoneId zone) const {
-    return zone_of(table).value_or(zone) == zone && zones_to_serve.contains(zone);
-  }
-
-  ZoneFallback collect_zone_fallback() {
-    ZoneFallback fallback;
-    zones_to_serve.clear();
-    if (!has_zone_bound_operations) return fallback;
-    for (const auto& [id, p] : proxies) zones_to_serve.insert(p.zone);
-    for (const auto& [id, b] : backends)
-      if (ready(b) && !b.unlisted && slow_start_factor(b) >= 1)
-        fallback.add(
-            {id, b.entry.zone, b.subset, b.entry.weight, b.control.share * zones[b.entry.zone].share});
-    return fallback;
-  }
-
-  // Gives a table without a warm line of the zone the zone's lines of another subset, at a small weight. Its
-  // own cold lines are reduced alike; otherwise they would get all of what is bound to the zone.
-  void keep_line_of_zone(std::map<BackendId, double>& weights, ZoneId zone, std::size_t subset,
-                         ZoneFallback& fallback) {
-    std::vector<double*> cold_weights;
-    for (auto& [id, weight] : weights) {
-      const Backend& b = backends[id];
-      if (b.entry.zone != zone) continue;
-      if (slow_start_factor(b) >= 1) return;
-      cold_weights.push_back(&weight);
-    }
-    const auto borrowed = fallback.choose(zone, subset);
-    if (borrowed.empty()) return;
-    for (double* weight : cold_weights) *weight *= kFallbackWeight;
-    for (const auto& candidate : borrowed) weights[candidate.backend] = candidate.weight * kFallbackWeight;
-  }
-
-  // While a link of a zone has a reduced share, the proxies of that zone get a table of their own, provided
-  // that it keeps warm backends.
-  void compute_link_tables(ZoneFallback& fallback) {
-    for (const auto& [key, link] : links) {
-      if (link.control.at_full_share()) continue;
-      for (std::size_t k = 0; k < subset_count; ++k) {
-        Table zone_table{wanted_tables[table_id(k)].weights, {}, {}, {}, 0};
-        double remaining = 0;
-        for (auto& [id, weight] : zone_table.weights) {
-          weight *= links[{key.first, backends[id].entry.zone}].control.share;
-          if (slow_start_factor(backends[id]) >= 1) remaining += weight;
-        }
-        std::erase_if(zone_table.weights, [](const auto& row) { return row.second <= 0; });
-        if (zones_to_serve.contains(key.first)) keep_line_of_zone(zone_table.weights, key.first, k, fallback);
-        if (remaining > 0) wanted_tables[table_id(k, 1 + key.first.value)] = std::move(zone_table);
-      }
-    }
+  // A table of the present partition for the same operations and zone.
+  [[nodiscard]] TableId replacement_of(TableId number) const {
+    const std::size_t subset = number.value % kTablesPerZone % kMaxSubsets % subset_count;
+    if (!is_zone_bound(number)) return table_id(subset);
+    return zone_bound_table_id(subset, ZoneId{static_cast<std::uint16_t>(number.value / kTablesPerZone - 1)});
   }
 
   // Computes admission limits and retries. Retries stay at the configured default, at most if
@@ -833,38 +840,36 @@
           weight < previous && (b == backends.end() || !ready(b->second) || slow_start_factor(b->second) < 1);
       (required ? changes.required : changes.deferrable).emplace_back(SetWeight{number, id, weight});
     }
-    take_needed_lines(number, have, changes);
+    take_needed_lines(have, changes);
     have.admissions.resize(wanted_table.admissions.size(), Admission{RetryPolicy::none, -1});
     for (std::size_t k = 0; k < wanted_table.admissions.size(); ++k)
       if (const Admission& w = wanted_table.admissions[k], &h = have.admissions[k];
-          h.retries != w.retries || std::abs(h.limit - w.limit) >= 0.03 * w.limit)
+          settings.operations[k].zone_bound == is_zone_bound(number) &&
+          (h.retries != w.retries || std::abs(h.limit - w.limit) >= 0.03 * w.limit))
         changes.deferrable.emplace_back(SetAdmission{number, operation_id(k), w.retries, w.limit});
     return changes;
   }
 
   // Takes out of the deferrable changes the lines without which the table's proxies would be left with no
-  // line or no warm one, or with no warm one for an operation that is bound to their zone.
-  void take_needed_lines(TableId number, const Table& have, TableChanges& changes) const {
+  // line or no warm one.
+  void take_needed_lines(const Table& have, TableChanges& changes) const {
     if (changes.deferrable.empty()) return;
     std::set<BackendId> removed;
     for (const auto& order : changes.required)
       if (const auto* change = std::get_if<SetWeight>(&order); change != nullptr && change->weight <= 0)
         removed.insert(change->backend);
-    bool any_line_left = false;
-    std::set<ZoneId> warm_zones_left;
+    bool line_left = false, warm_line_left = false;
     for (const auto& [id, weight] : have.weights) {
       const auto b = backends.find(id);
       if (b == backends.end() || removed.contains(id)) continue;
-      any_line_left = true;
-      if (slow_start_factor(b->second) >= 1) warm_zones_left.insert(b->second.entry.zone);
+      line_left = true;
+      warm_line_left = warm_line_left || slow_start_factor(b->second) >= 1;
     }
+    if (warm_line_left) return;
     const auto needed = [&](const Order& order) {
       const auto* change = std::get_if<SetWeight>(&order);
       if (change == nullptr || change->weight <= 0) return false;
-      if (!any_line_left) return true;
-      const Backend& b = backends.at(change->backend);
-      if (slow_start_factor(b) < 1 || warm_zones_left.contains(b.entry.zone)) return false;
-      return warm_zones_left.empty() || serves(number, b.entry.zone);
+      return !line_left || slow_start_factor(backends.at(change->backend)) >= 1;
     };
     const auto first_needed = std::stable_partition(changes.deferrable.begin(), changes.deferrable.end(),
                                                     [&](const Order& order) { return !needed(order); });
@@ -872,6 +877,8 @@
     changes.deferrable.erase(first_needed, changes.deferrable.end());
   }
 
+  [[nodiscard]] int tables_per_proxy() const { return zone_bound_operations.empty() ? 1 : 2; }
+
   // Orders the changes of a table. `forced`: those that can't wait, with the others if the channel has room;
   // otherwise those of a table where all can wait.
   void send_table(TableId number, const Table& wanted_table, bool forced) {
@@ -889,7 +896,8 @@
     };
     const bool interval_passed = now - have.last_sent >= Span::seconds(0.5);
     const bool under_cap =
-        settings.messages_most == 0 || static_cast<double>(sent.size()) < 0.6 * settings.messages_most;
+        settings.messages_most == 0 ||
+        static_cast<double>(sent.size()) < 0.6 * settings.messages_most / tables_per_proxy();
     const bool room = current_backlog() + cost(required.size() + needed.size() + deferrable.size()) <=
                       (forced ? 0.8 * settings.backlog : deferrable_backlog());
     std::vector<Order> orders = required;
@@ -946,19 +954,34 @@
       p->subset = best, load[best] += p->rate;
     }
     for (auto& [id, p] : proxies) {
-      const TableId zone_table = table_id(*p.subset, 1 + p.zone.value);
-      const TableId table = wanted_tables.contains(zone_table) ? zone_table : table_id(*p.subset);
-      const Table& have = sent_tables[table];
-      if (have.weights.empty() || p.bound == table) continue;
-      const double binding_cost =
-          settings.per_message + 1 + static_cast<double>(have.weights.size() + have.admissions.size());
-      if (current_backlog() + binding_cost > 0.8 * settings.backlog) break;
-      out.emplace_back(BindProxy{id, table});
-      p.bound = table;
-      channel_backlog = current_backlog() + binding_cost, channel_backlog_at = now;
+      const TableId link_table = link_table_id(*p.subset, p.zone);
+      const TableId table = wanted_tables.contains(link_table) ? link_table : table_id(*p.subset);
+      if (sent_tables[table].weights.empty()) continue;
+      const bool all = zone_bound_operations.empty();
+      if (!bind(id, p.bound, table, all ? std::vector<OperationId>{} : other_operations)) break;
+      if (all) continue;
+      // Even a table without lines: the proxy's former one may have lines of other zones.
+      const TableId zone_bound_table = zone_bound_table_id(*p.subset, p.zone);
+      if (!bind(id, p.zone_bound_table, zone_bound_table, zone_bound_operations)) break;
     }
   }
 
+  // Binds a proxy to a table unless it is bound already. Returns false if the channel has no room.
+  bool bind(ProxyId proxy, std::optional<TableId>& bound, TableId table,
+            const std::vector<OperationId>& operations) {
+    if (bound == table) return true;
+    const Table& have = sent_tables[table];
+    const double binding_cost =
+        settings.per_message + 1 + static_cast<double>(have.weights.size() + have.admissions.size());
+    if (current_backlog() + binding_cost > 0.8 * settings.backlog) return false;
+    bound = table;
+    // If all operations are bound to the zone, none uses the other table; an empty list would mean all.
+    if (operations.empty() && !zone_bound_operations.empty()) return true;
+    out.emplace_back(BindProxy{proxy, table, operations});
+    channel_backlog = current_backlog() + binding_cost, channel_backlog_at = now;
+    return true;
+  }
+
   std::vector<Order> handle(Instant at, const std::vector<Event>& events) {
     now = at;
     out.clear();
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -102,7 +102,8 @@
 };
 struct BindProxy {
   ProxyId proxy;
-  TableId table;  // for all operations
+  TableId table;
+  std::vector<OperationId> operations = {};  // that use the table; empty: all
 };
 struct SetAdmission {
   TableId table;
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -100,8 +100,12 @@
               {"w", order.weight}};
     }
     Json operator()(const BindProxy& order) const {
-      return {
-          {"t", "subscribe-to"}, {"client-lb", order.proxy.value}, {"sheet", order.table.value}, {"mask", 0}};
+      std::uint64_t operations = 0;  // 0: all
+      for (const auto operation : order.operations) operations |= mask(operation);
+      return {{"t", "subscribe-to"},
+              {"client-lb", order.proxy.value},
+              {"sheet", order.table.value},
+              {"mask", operations}};
     }
     Json operator()(const SetAdmission& order) const {
       return {{"t", "throttle"},
--- a/src/streams/message.cpp
+++ b/src/streams/message.cpp
@@ -155,6 +155,58 @@
   return text == "0" && value > 0 ? "0.000001" : text;
 }
 
+std::string routes_field(const std::vector<std::string_view>& operations) {
+  std::string field;
+  for (const auto& operation : operations) {
+    field += field.empty() ? " routes=" : "+";
+    field += operation;
+  }
+  return field;
+}
+
+// Operations with equal levels.
+struct LevelGroup {
+  OperationLevel level;
+  std::vector<std::string_view> operations;
+};
+
+std::vector<LevelGroup> group_levels(const std::vector<OperationLevel>& levels) {
+  std::vector<LevelGroup> groups;
+  for (const auto& level : levels) {
+    const auto it = std::find_if(groups.begin(), groups.end(), [&](const LevelGroup& group) {
+      return group.level.tries == level.tries && group.level.level == level.level;
+    });
+    LevelGroup& group = it == groups.end() ? groups.emplace_back(LevelGroup{level, {}}) : *it;
+    group.operations.push_back(level.operation);
+  }
+  return groups;
+}
+
+// Appends the parts of one update. Operations with equal levels share a part; a level that all operations of
+// the table share goes with its lines.
+void append_parts(const Update& update, std::vector<std::string>& parts, std::size_t& line_count) {
+  const auto groups = group_levels(update.levels);
+  const bool has_lines = update.full || !update.endpoints.empty();
+  if (has_lines) {
+    std::string part = "update" + routes_field(update.routes);
+    if (update.full) part += " full=1", ++line_count;
+    const char* separator = " endpoints=";
+    for (const auto& line : update.endpoints) {
+      part += separator, part += line.host, part += ':', part += format_decimal(line.weight);
+      separator = ",", ++line_count;
+    }
+    parts.push_back(std::move(part));
+  }
+  for (const auto& [level, operations] : groups) {
+    const bool all_operations = operations.size() == update.operations;
+    if (!all_operations || groups.size() > 1 || !has_lines)
+      parts.push_back("update" + routes_field(all_operations ? update.routes : operations));
+    parts.back() +=
+        " admit=" + format_decimal(level.level) + " policy=" + std::to_string(static_cast<int>(level.tries));
+    ++line_count;
+  }
+}
+
 }  // namespace
 
 Message parse_message(std::string_view line) {
@@ -183,48 +235,13 @@
   return !known || !printable(part.substr(std::min(checked_bytes, part.size())));
 }
 
-EncodedMessage encode_update(const Update& update) {
-  // Operations with equal levels share a part; a level that all operations share lists no names.
-  std::vector<std::pair<OperationLevel, std::vector<std::string_view>>> groups;
-  for (const auto& level : update.levels) {
-    const auto it = std::find_if(groups.begin(), groups.end(), [&](const auto& g) {
-      return g.first.tries == level.tries && g.first.level == level.level;
-    });
-    (it == groups.end() ? groups.emplace_back(level, std::vector<std::string_view>{}) : *it)
-        .second.push_back(level.operation);
-  }
-  EncodedMessage out;
+EncodedMessage encode_updates(const std::vector<Update>& updates) {
+  EncodedMessage message;
   std::vector<std::string> parts;
-  if (update.full || !update.endpoints.empty()) {
-    std::string part = "update";
-    if (update.full) part += " full=1", ++out.line_count;
-    const char* separator = " endpoints=";
-    for (const auto& line : update.endpoints) {
-      part += separator, part += line.host, part += ':', part += format_decimal(line.weight);
-      separator = ",", ++out.line_count;
-    }
-    parts.push_back(std::move(part));
-  }
-  for (const auto& [level, operations] : groups) {
-    const bool all_operations = operations.size() == update.operations;
-    std::string part;
-    if (all_operations && groups.size() == 1 && !parts.empty()) {
-      part = std::move(parts.back());
-      parts.pop_back();
-    } else {
-      part = "update";
-    }
-    if (!all_operations) {
-      const char* separator = " routes=";
-      for (const auto& operation : operations) part += separator, part += operation, separator = "+";
-    }
-    part +=
-        " admit=" + format_decimal(level.level) + " policy=" + std::to_string(static_cast<int>(level.tries));
-    parts.push_back(std::move(part)), ++out.line_count;
-  }
+  for (const auto& update : updates) append_parts(update, parts, message.line_count);
   for (std::size_t index = 0; index < parts.size() && index < kMaxParts; ++index)
-    out.bytes += parts[index] + (index + 1 < parts.size() ? " continued=1\r\n" : "\r\n");
-  return out;
+    message.bytes += parts[index] + (index + 1 < parts.size() ? " continued=1\r\n" : "\r\n");
+  return message;
 }
 
 std::string encode_refusal(std::string_view reason) {
--- a/src/streams/message.hpp
+++ b/src/streams/message.hpp
@@ -74,13 +74,15 @@
   bool full = false;
   std::vector<EndpointWeight> endpoints;
   std::vector<OperationLevel> levels;
-  std::size_t operations = 0;  // how many are configured; a level shared by all lists no names
+  std::size_t operations = 0;            // how many use the table; a level shared by all lists no names
+  std::vector<std::string_view> routes;  // the operations that use the table; empty: all that are configured
 };
 struct EncodedMessage {
   std::string bytes;           // one message, in several parts if it needs them
   std::size_t line_count = 0;  // lines counted against the push rate, without the overhead per message
 };
-[[nodiscard]] EncodedMessage encode_update(const Update& update);
+// One message with the updates of one or more tables of a proxy.
+[[nodiscard]] EncodedMessage encode_updates(const std::vector<Update>& updates);
 
 inline constexpr std::string_view kPong = "pong\r\n";
 [[nodiscard]] std::string encode_refusal(std::string_view reason);
--- a/src/streams/policy_host.cpp
+++ b/src/streams/policy_host.cpp
@@ -19,12 +19,13 @@
     : policy_{settings, seed},
       names_{std::move(names)},
       proxy_count_{settings.proxies},
-      has_zone_bound_operations_{std::any_of(settings.operations.begin(), settings.operations.end(),
-                                             [](const Operation& o) { return o.zone_bound; })},
       removal_is_binding_{settings.removal_binds},
       unix_epoch_{unix_epoch},
       batching_{batching},
       tables_{names_.operations, [this](BackendId id) -> std::string_view { return backends_.at(id).name; }} {
+  for (std::size_t k = 0; k < settings.operations.size(); ++k)
+    if (settings.operations[k].zone_bound)
+      zone_bound_operations_.push_back(OperationId{static_cast<std::uint8_t>(k)});
 }
 
 BackendId PolicyHost::id_for(const std::string& name) {
@@ -242,16 +243,15 @@
 }
 
 std::string PolicyHost::zones_without_line() const {
-  if (!has_zone_bound_operations_) return {};
-  std::map<TableId, std::set<ZoneId>> zones_by_table;
-  for (const auto& [id, table] : tables_.all())
-    for (const auto& [backend, weight] : table.weights) zones_by_table[id].insert(backends_.at(backend).zone);
+  if (zone_bound_operations_.empty()) return {};
   std::map<ZoneId, std::size_t> proxies_by_zone;
-  for (const auto& [proxy, table] : tables_.bound_tables()) {
-    const auto zone = zone_by_proxy_.find(proxy);
-    if (zone != zone_by_proxy_.end() && !zones_by_table[table].contains(zone->second))
-      ++proxies_by_zone[zone->second];
-  }
+  for (const auto& [proxy, bindings] : tables_.bindings())
+    for (const auto& binding : bindings) {
+      if (binding.operations != zone_bound_operations_) continue;
+      const auto table = tables_.all().find(binding.table);
+      if (table == tables_.all().end() || table->second.weights.empty())
+        ++proxies_by_zone[zone_by_proxy_.at(proxy)];
+    }
   std::string text;
   for (const auto& [zone, proxies] : proxies_by_zone)
     text += (text.empty() ? "" : " ") + names_.zones.at(zone.value) + ":" + std::to_string(proxies);
--- a/src/streams/policy_host.hpp
+++ b/src/streams/policy_host.hpp
@@ -73,7 +73,7 @@
     std::string levels;
     std::string reduced;  // zones, backends and links below their full share, as `name:percent`
     std::string failing;  // backends with errored tries, as `name:errored/tries`
-    // Zones whose proxies have no line of their zone although an operation is bound to it, as `zone:proxies`.
+    // Zones whose proxies have no line for an operation that is bound to their zone, as `zone:proxies`.
     std::string without_zone_line;
   };
   [[nodiscard]] Stats take_stats();
@@ -95,7 +95,7 @@
   Policy policy_;
   IdNames names_;
   double proxy_count_;
-  bool has_zone_bound_operations_;
+  std::vector<OperationId> zone_bound_operations_;
   bool removal_is_binding_;
   Instant unix_epoch_, now_;
   ReportBatching batching_;
--- a/src/streams/proxy_tables.cpp
+++ b/src/streams/proxy_tables.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gorsemount::streams {
 
 std::vector<ProxyTables::Delivery> ProxyTables::apply(const std::vector<Order>& orders) {
   std::map<TableId, Table> changed;
-  std::set<ProxyId> newly_bound;
+  std::set<std::pair<ProxyId, TableId>> newly_bound;
   for (const auto& order : orders) {
     if (const auto* line = std::get_if<SetWeight>(&order)) {
       auto& weights = tables_[line->table].weights;
@@ -21,38 +22,65 @@
       const Level new_level{level->retries, level->limit};
       tables_[level->table].levels[level->operation] = new_level;
       changed[level->table].levels[level->operation] = new_level;
-    } else if (const auto* bind = std::get_if<BindProxy>(&order)) {
-      table_by_proxy_[bind->proxy] = bind->table;
-      newly_bound.insert(bind->proxy);
+    } else if (const auto* binding = std::get_if<BindProxy>(&order)) {
+      bind(*binding);
+      newly_bound.emplace(binding->proxy, binding->table);
     }
   }
   std::vector<Delivery> deliveries;
   if (changed.empty() && newly_bound.empty()) return deliveries;
-  std::map<TableId, std::shared_ptr<const EncodedMessage>> full_updates, delta_updates;
-  for (const auto& [proxy, table] : table_by_proxy_) {
-    auto& encoded = newly_bound.contains(proxy) ? full_updates : delta_updates;
-    if (!newly_bound.contains(proxy) && !changed.contains(table)) continue;
-    auto& message = encoded[table];
-    if (!message)
-      message = &encoded == &full_updates ? encode(tables_[table], true) : encode(changed[table], false);
+  std::map<std::vector<TableUpdate>, std::shared_ptr<const EncodedMessage>> messages;
+  for (const auto& [proxy, bindings] : bindings_) {
+    std::vector<TableUpdate> updates;
+    for (const auto& binding : bindings) {
+      const bool full = newly_bound.contains({proxy, binding.table});
+      if (full || changed.contains(binding.table))
+        updates.push_back({binding.table, full, binding.operations});
+    }
+    if (updates.empty()) continue;
+    auto& message = messages[updates];
+    if (!message) message = encode(updates, changed);
     deliveries.push_back({proxy, message});
   }
   return deliveries;
 }
 
+void ProxyTables::bind(const BindProxy& order) {
+  auto& bindings = bindings_[order.proxy];
+  std::erase_if(bindings, [&](const Binding& binding) {
+    return order.operations.empty() || binding.operations.empty() || binding.operations == order.operations;
+  });
+  bindings.push_back({order.table, order.operations});
+}
+
 bool ProxyTables::contains(BackendId backend) const {
   return std::any_of(tables_.begin(), tables_.end(),
                      [&](const auto& entry) { return entry.second.weights.contains(backend); });
 }
 
-std::shared_ptr<const EncodedMessage> ProxyTables::encode(const Table& contents, bool full) const {
+std::shared_ptr<const EncodedMessage> ProxyTables::encode(const std::vector<TableUpdate>& updates,
+                                                          const std::map<TableId, Table>& changed) const {
+  static const Table kEmptyTable;
+  std::vector<Update> encoded;
+  for (const auto& update : updates) {
+    const auto& tables = update.full ? tables_ : changed;
+    const auto contents = tables.find(update.table);
+    encoded.push_back(to_update(update, contents == tables.end() ? kEmptyTable : contents->second));
+  }
+  return std::make_shared<const EncodedMessage>(encode_updates(encoded));
+}
+
+Update ProxyTables::to_update(const TableUpdate& table_update, const Table& contents) const {
   Update update;
-  update.full = full, update.operations = operations_.size();
+  update.full = table_update.full;
+  for (const auto operation : table_update.operations)
+    update.routes.emplace_back(operations_.at(operation.value));
+  update.operations = update.routes.empty() ? operations_.size() : update.routes.size();
   for (const auto& [backend, weight] : contents.weights)
     update.endpoints.push_back({backend_name_(backend), weight});
   for (const auto& [operation, level] : contents.levels)
     update.levels.push_back({operations_.at(operation.value), level.tries, level.level});
-  return std::make_shared<const EncodedMessage>(encode_update(update));
+  return update;
 }
 
 }  // namespace gorsemount::streams
--- a/src/streams/proxy_tables.hpp
+++ b/src/streams/proxy_tables.hpp
@@ -24,9 +24,7 @@
   ProxyTables(std::vector<std::string> operations, BackendName backend_name)
       : operations_{std::move(operations)}, backend_name_{std::move(backend_name)} {}
 
-  void remove_proxy(ProxyId proxy) {
-    table_by_proxy_.erase(proxy);
-  }  // its next stream starts without a table
+  void remove_proxy(ProxyId proxy) { bindings_.erase(proxy); }  // its next stream starts without a table
   [[nodiscard]] std::vector<Delivery> apply(const std::vector<Order>& orders);
   [[nodiscard]] bool contains(BackendId backend) const;  // in any table
 
@@ -39,15 +37,30 @@
     std::map<OperationId, Level> levels;
   };
   [[nodiscard]] const std::map<TableId, Table>& all() const { return tables_; }
-  [[nodiscard]] const std::map<ProxyId, TableId>& bound_tables() const { return table_by_proxy_; }
+  struct Binding {
+    TableId table;
+    std::vector<OperationId> operations;  // that use the table; empty: all
+  };
+  [[nodiscard]] const std::map<ProxyId, std::vector<Binding>>& bindings() const { return bindings_; }
 
  private:
-  [[nodiscard]] std::shared_ptr<const EncodedMessage> encode(const Table& contents, bool full) const;
+  // What one message tells of one table of a proxy.
+  struct TableUpdate {
+    TableId table;
+    bool full = false;  // the whole table, not only its changes
+    std::vector<OperationId> operations;
+    auto operator<=>(const TableUpdate&) const = default;
+  };
+
+  void bind(const BindProxy& order);
+  [[nodiscard]] std::shared_ptr<const EncodedMessage> encode(const std::vector<TableUpdate>& updates,
+                                                             const std::map<TableId, Table>& changed) const;
+  [[nodiscard]] Update to_update(const TableUpdate& table_update, const Table& contents) const;
 
   std::vector<std::string> operations_;
   BackendName backend_name_;
   std::map<TableId, Table> tables_;
-  std::map<ProxyId, TableId> table_by_proxy_;
+  std::map<ProxyId, std::vector<Binding>> bindings_;
 };
 
 }  // namespace gorsemount::streams
--- a/tests/streams/policy_host_test.cpp
+++ b/tests/streams/policy_host_test.cpp
@@ -140,6 +140,31 @@
   }
 }
 
+// An operation that is bound to the proxy's zone has a table of its own in the same message.
+TEST(PolicyHost, ABoundOperationGetsATableOfTheProxysZone) {
+  Json changed = config();
+  changed["family-info"]["zone-bound"] = {true, false};
+  const Fields settings{changed, "settings"};
+  PolicyHost host{read_settings(settings), read_id_names(settings), 5, Instant{}, {Span{}, Span{}}};
+  host.handle_list(list(), true);
+  for (std::uint16_t proxy = 0; proxy < 8; ++proxy) {
+    const std::string zone(1, static_cast<char>('a' + proxy % 3));
+    ASSERT_EQ(host.join(proxy, {proxy, zone, 5, true}).refusal, nullptr);
+  }
+  const auto effects = host.step(Instant::at_seconds(1));
+  ASSERT_EQ(effects.sends.size(), 8U);
+  for (const auto& send : effects.sends) {
+    const std::string& bytes = send.message->bytes;
+    EXPECT_EQ(bytes.find("update routes=order full=1 endpoints="), 0U) << bytes;
+    EXPECT_NE(bytes.find(" continued=1\r\nupdate routes=lookup full=1 endpoints="), std::string::npos)
+        << bytes;
+    const std::string bound = bytes.substr(bytes.find("routes=lookup"));
+    for (unsigned k = 1; k <= kBackends; ++k)
+      EXPECT_EQ(bound.find(host_name(k) + ":") != std::string::npos, k % 3 == send.stream % 3)
+          << host_name(k) << " for proxy " << send.stream << ": " << bytes;
+  }
+}
+
 TEST(PolicyHost, SecondJoinBeforeTheOldCloseIsALeaveThenAJoin) {
   Fixture fixture;
   fixture.host.handle_list(list(), true);
