Take the longest turn from the clock readings that the loop makes anyway

Cause: the state line's new field read the clock once more in every turn.

Change: a turn ends where the next one begins, and both readings are there already.

Loop.ReportsTheLongestTurnOnce is new.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -101,7 +101,9 @@
   ++turns_;
   std::array<epoll_event, 128> ready;
   int timeout_ms = -1;
+  const Instant previous_begin = now_;
   now_ = monotonic_now();
+  if (turns_ > 1) longest_turn_ = std::max(longest_turn_, now_ - previous_begin);
   if (!deferred_tasks_.empty()) {
     timeout_ms = 0;
   } else if (!timers_.empty()) {
@@ -126,7 +128,6 @@
   }
   const auto tasks = std::exchange(deferred_tasks_, {});
   for (const auto& task : tasks) task();
-  longest_turn_ = std::max(longest_turn_, monotonic_now() - now_);
 }
 
 void Loop::run() {
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "dns/server.hpp"
 #include "net/http.hpp"
@@ -40,6 +41,16 @@
   std::string received, close_reason;
 };
 
+TEST(Loop, ReportsTheLongestTurnOnce) {
+  constexpr useconds_t kPauseMicros = 50'000;
+  Loop loop;
+  loop.after(Span{}, [] { usleep(kPauseMicros); });
+  loop.after(Span::seconds(0.1), [&] { loop.stop(); });
+  loop.run();
+  EXPECT_GE(loop.take_longest_turn(), Span::micros(kPauseMicros));
+  EXPECT_EQ(loop.take_longest_turn(), Span{});
+}
+
 TEST(Loop, TimersFireInOrderAndCancelledOnesDoNot) {
   Loop loop;
   std::string seen;
