--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -18,7 +18,9 @@
 #include <set>
 #include <utility>
 
+#include "policy/share_controller.hpp"
 #include "policy/subset_weights.hpp"
+#include "policy/table_ids.hpp"
 #include "policy/zone_fallback.hpp"
 
 namespace gorsemount {
@@ -71,56 +73,6 @@
   return kUnlimitedRate;
 }
 
-enum class Health { unknown, healthy, slow, failed };
-
-struct StepSettings {
-  double down, up;                        // change of the share in each step
-  Span down_interval, hold, up_interval;  // hold: from a share of 0 to the first trial
-};
-// A backend or a link is removed in one step and restored in thirds.
-const StepSettings kTargetSteps{1.0, 1.0 / 3, Span{}, Span::seconds(4), Span::seconds(1)};
-const StepSettings kZoneSteps{1.0 / 3, 0.1, Span::seconds(2), Span::seconds(10), Span::seconds(3)};
-
-struct ShareController {
-  double share = 1;
-  bool reducing = false;  // stepping down to 0
-  Instant next_step;      // earliest time of the next step
-  Instant changed_at;     // last change of the share
-  Instant failing_since;  // zones only: start of the current failure signal
-  int failed_trials = 0;  // since the last long period at full share
-  bool was_slow = false;  // restore in smaller steps
-
-  [[nodiscard]] bool at_full_share() const { return share >= 1 && !reducing; }
-  void move(double target, Instant now, Span wait) {
-    share = std::clamp(target, 0.0, 1.0), changed_at = now, next_step = now + wait;
-  }
-  void advance(Instant now, const StepSettings& steps, Health health, double trial_share) {
-    if (health == Health::failed && !reducing && share > 0) {
-      if (share < 1) ++failed_trials;
-      reducing = true, next_step = now;
-    }
-    if (now < next_step) return;
-    if (reducing) {
-      move(share - steps.down, now, steps.down_interval);
-      // Each failed trial doubles the hold, up to three times, so that a flapping target does not
-      // fall into step with the timers.
-      if (share < 1e-9) move(0, now, steps.hold * (1 << std::min(failed_trials, 3))), reducing = false;
-    } else if (share <= 0) {
-      move(trial_share, now, steps.up_interval);
-    } else if (health == Health::slow) {
-      // A slow target keeps part of its traffic: each step takes a quarter, down to a tenth, and it
-      // is restored in small steps.
-      was_slow = true;
-      move(std::max(0.1, share * 0.75), now, steps.up_interval * 2);
-    } else if (share < 1) {
-      if (health == Health::healthy)
-        move(share + (was_slow || failed_trials > 0 ? steps.up / 4 : steps.up), now, steps.up_interval);
-    } else if (now - changed_at > steps.hold * 4) {
-      failed_trials = 0, was_slow = false;
-    }
-  }
-};
-
 // A target with its own samples and share controller: a backend, or the link between two zones.
 struct Target {
   ShareController control;
@@ -157,21 +109,6 @@
   double limit = 1;
 };
 
-// Ids below kTablesPerZone are the subset tables, for all zones. Above them each zone has as many: first the
-// tables of its proxies while they avoid a failing link, then those for the operations bound to the zone.
-constexpr std::uint16_t kTablesPerZone = 1000;
-constexpr std::uint16_t kMaxSubsets = kTablesPerZone / 2;
-TableId table_id(std::size_t subset) { return TableId{static_cast<std::uint16_t>(subset)}; }
-TableId link_table_id(std::size_t subset, ZoneId zone) {
-  return TableId{static_cast<std::uint16_t>(kTablesPerZone * (1 + zone.value) + subset)};
-}
-TableId zone_bound_table_id(std::size_t subset, ZoneId zone) {
-  return TableId{static_cast<std::uint16_t>(link_table_id(subset, zone).value + kMaxSubsets)};
-}
-bool is_zone_bound(TableId table) {
-  return table.value >= kTablesPerZone && table.value % kTablesPerZone >= kMaxSubsets;
-}
-
 struct Table {
   std::map<BackendId, double> weights;
   std::vector<Admission> admissions;
