Scale the bound on reading time in instrumented builds

Cause: under AddressSanitizer and UndefinedBehaviorSanitizer in a debug build two of the bounded calls took 0.61 and 0.67 s, where 0.5 s are allowed; they are not the builds that run anywhere.

Change: there the bound is ten times as long.

--- a/tests/support/thread_time.hpp
+++ b/tests/support/thread_time.hpp
@@ -10,7 +10,12 @@
 
 // The platform sends SIGKILL 0.7 s after SIGTERM, so nothing that a peer sends may hold the event loop for as
 // long as this. Meant for input of the largest size that is accepted.
-const Span kMaxReadTime = Span::seconds(0.5);
+#ifdef __SANITIZE_ADDRESS__
+constexpr double kInstrumentationFactor = 10;  // instrumented and unoptimized code is that much slower
+#else
+constexpr double kInstrumentationFactor = 1;
+#endif
+const Span kMaxReadTime = Span::seconds(0.5 * kInstrumentationFactor);
 
 // Processor time that the calling thread spends in `function`.
 template <class Function>
