--- a/src/settings_json/settings.cpp
+++ b/src/settings_json/settings.cpp
@@ -44,7 +44,8 @@
 void read_zone_bound(const Fields& family, std::vector<Operation>& operations) {
   if (!family.has("zone-bound")) return;
   const Json& flags = family.array("zone-bound");
-  if (flags.size() != operations.size()) family.fail("zone-bound", "does not have one entry for each of the lanes");
+  if (flags.size() != operations.size())
+    family.fail("zone-bound", "does not have one entry for each of the lanes");
   for (std::size_t index = 0; index < operations.size(); ++index) {
     if (!flags[index].is_boolean()) family.fail("zone-bound", "contains a value that is not a boolean");
     operations[index].zone_bound = flags[index].get<bool>();
