--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -169,6 +169,8 @@
   double report_every_s = 2, report_late_s = 0.8, unserved_max_s = 2.9;
   double drain_grace_s = 1.5, cold_from = 0.18, cold_s = 15, tip_multiple = 4, tip_after_s = 2;
   double redial_from_s = 0.07, redial_to_s = 0.37;
+  int outlier_after = 0;  // 0: never
+  double keep_away_s = 5;
   std::string discovery_mode = "subscribe", level_kind = "rate", selects_by = "weighted";
 };
 
@@ -178,6 +180,7 @@
   std::string health = "Ready";  // as discovery lists it
   long long born_ms = 0;         // 0: long ago
   bool alive = true;
+  double errored_share = 0;     // of its requests, that it fails quickly
   double started = -1e9;        // on the steady clock
   std::deque<double> arrivals;  // of the last seconds
   long long taken = 0, turned_away = 0;
@@ -186,6 +189,8 @@
 struct Table {
   std::map<std::string, double> lines;
   std::map<std::string, double> credit;  // of the even pick
+  std::map<std::string, int> failed_in_a_row;
+  std::map<std::string, double> kept_away_until;  // after `outlier-after` own tries in a row that failed
 };
 
 // ---- The world
@@ -460,8 +465,8 @@
         R"("backlog":%g,"in-flight-max-s":3.0,"initial-set":8,"intake-per-s":1000,"level-kind":"%s","local-first":false,)",
         d.backlog, d.level_kind.c_str());
     text += format(
-        R"("messages-most":%d,"min-conn-cap":200,"one-owner":false,"outlier-after":0,"per-message":%g,"propagation-s":%g,)",
-        d.messages_most, d.per_message, d.propagation_s);
+        R"("messages-most":%d,"min-conn-cap":200,"one-owner":false,"outlier-after":%d,"per-message":%g,"propagation-s":%g,)",
+        d.messages_most, d.outlier_after, d.per_message, d.propagation_s);
     text += format(
         R"("proxies":%d,"push-price":0.04,"push-rate":%g,"ranges":0,"report-every-s":%g,"selects-by":"%s",)",
         d.proxies, d.push_rate, d.report_every_s, d.selects_by.c_str());
@@ -546,25 +551,11 @@
   void request(Proxy& p, std::size_t cls, double at) {
     ++requests, ++p.usage[cls];
     Table& table = p.tables[cls];
-    double sum = 0;
-    for (const auto& [host, weight] : table.lines) sum += weight;
-    if (sum <= 0) {
+    const std::string picked = pick(table, at);
+    if (picked.empty()) {
       ++refused, ++unserved, ++p.usage_bad[cls];
       return;
     }
-    std::string picked;
-    if (d.selects_by == "round") {  // evenly by weight
-      double most = -1e18;
-      for (const auto& [host, weight] : table.lines)
-        if (double& credit = table.credit[host] += weight / sum; credit > most) most = credit, picked = host;
-      table.credit[picked] -= 1;
-    } else {
-      double rest = uniform(0, sum);
-      for (const auto& [host, weight] : table.lines) {
-        picked = host;
-        if ((rest -= weight) < 0) break;
-      }
-    }
     Backend& backend = backends[index_.at(picked)];
     on_request(p, cls, backend, at);
     auto& heard = heard_[p.zone][{p.home, picked}];
@@ -573,11 +564,40 @@
     while (backend.arrivals.front() < at - 4) backend.arrivals.pop_front();
     const auto recent =
         std::count_if(backend.arrivals.begin(), backend.arrivals.end(), [&](double t) { return t > at - 1; });
-    if (!backend.alive || static_cast<double>(recent) > 1.5 * capacity(backend, at) + 2) {
+    const bool full = static_cast<double>(recent) > 1.5 * capacity(backend, at) + 2;
+    if (!backend.alive || full || (backend.errored_share > 0 && uniform(0, 1) < backend.errored_share)) {
       ++heard.second, ++unserved, ++p.usage_bad[cls], ++backend.turned_away;
+      if (d.outlier_after > 0 && ++table.failed_in_a_row[picked] >= d.outlier_after)
+        table.failed_in_a_row[picked] = 0, table.kept_away_until[picked] = at + d.keep_away_s;
     } else {
       ++backend.taken;
+      table.failed_in_a_row.erase(picked);
+    }
+  }
+  // The line that the next request takes; none if the table is empty. A backend that the proxy keeps away
+  // from is taken only if there is no other.
+  std::string pick(Table& table, double at) {
+    std::erase_if(table.kept_away_until, [at](const auto& entry) { return entry.second <= at; });
+    std::map<std::string, double> lines = table.lines;
+    std::erase_if(lines, [&](const auto& line) { return table.kept_away_until.contains(line.first); });
+    if (lines.empty()) lines = table.lines;
+    double sum = 0;
+    for (const auto& [host, weight] : lines) sum += weight;
+    std::string picked;
+    if (sum <= 0) return picked;
+    if (d.selects_by == "round") {  // evenly by weight
+      double most = -1e18;
+      for (const auto& [host, weight] : lines)
+        if (double& credit = table.credit[host] += weight / sum; credit > most) most = credit, picked = host;
+      table.credit[picked] -= 1;
+      return picked;
+    }
+    double rest = uniform(0, sum);
+    for (const auto& [host, weight] : lines) {
+      picked = host;
+      if ((rest -= weight) < 0) break;
     }
+    return picked;
   }
 
   void report(double at) {
