Review case 10: proxies are refused though the descriptors would suffice

Cause: 24 descriptors are held back for the program, which uses nine, and eight more places are kept from joinings.

Added: the case; the stand-in notes proxies that are not taken. Nothing is fixed.

--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -169,6 +170,7 @@
   double report_every_s = 2, report_late_s = 0.8, unserved_max_s = 2.9;
   double drain_grace_s = 1.5, cold_from = 0.18, cold_s = 15, tip_multiple = 4, tip_after_s = 2;
   double redial_from_s = 0.07, redial_to_s = 0.37;
+  int sockets = 1024;     // descriptors of a coordinator
   int outlier_after = 0;  // 0: never
   double keep_away_s = 5;
   std::string discovery_mode = "subscribe", level_kind = "rate", selects_by = "weighted";
@@ -242,6 +244,9 @@
     Fd fd;
     bool connecting = false, joined = false;
     double dial_at = 0, joined_at = 0;
+    double refused_at =
+        0;  // when a coordinator first did not take its joining; 0: none since its last stream
+    std::size_t refused_by = 0;
     int stream = 0;  // counts its streams
     int incarnation = 0;
     std::string input;
@@ -459,7 +464,8 @@
         format(R"({"name":"%s","listen":"%s:%d","discovery":"%s:%d","seed":"%016x",)", c.name.c_str(),
                address_text(c.host).c_str(), c.port, address_text(kDiscoveryHost).c_str(), discovery_port_,
                static_cast<unsigned>(77 + 13 * position + c.incarnation));
-    text += R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" + c.known + ",";
+    text +=
+        format(R"("limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":)", d.sockets) + c.known + ",";
     text += R"("settings":{"discovery":")" + d.discovery_mode + R"(","family":"control","family-info":{)";
     text += format(
         R"("backlog":%g,"in-flight-max-s":3.0,"initial-set":8,"intake-per-s":1000,"level-kind":"%s","local-first":false,)",
@@ -734,11 +740,16 @@
     for (std::size_t end; (end = p.input.find("\r\n")) != std::string::npos;) {
       const std::string line = p.input.substr(0, end);
       p.input.erase(0, end + 2);
-      if (line.starts_with("refused")) return leave(p, line.c_str());
+      if (line.starts_with("refused")) {
+        note(format("%s does not take proxy %zu: ", c.name.c_str(), p.number) + line);
+        if (p.refused_at == 0) p.refused_at = p.joined_at, p.refused_by = p.home;
+        return leave(p, line.c_str());
+      }
       take_part(p, c, line);
     }
   }
   void take_part(Proxy& p, Coordinator& c, const std::string& line) {
+    p.refused_at = 0;
     p.parts.push_back(line);
     if (line.find(" continued=1") != std::string::npos) return;
     double cost = d.per_message;
