--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -203,7 +203,7 @@
   World(Deployment settings, std::string folder, std::string record_path, std::string run_command)
       : d{std::move(settings)}, folder_{std::move(folder)}, run_command_{std::move(run_command)} {
     signal(SIGPIPE, SIG_IGN);
-    record_ = fopen(record_path.c_str(), "w");
+    record_ = fopen(record_path.c_str(), "we");
     if (record_ == nullptr) throw CannotRun{"record.txt can't be written"};
     begin_ = steady();
     discovery_ = listen_on(kDiscoveryHost, 0);
