--- a/review/7/trial.cpp
+++ b/review/7/trial.cpp
@@ -18,7 +18,7 @@
                {"stock-lookup", "read_like", 1.2, 3, 1, 0.28, true, false},
                {"place-order", "non_idempotent", 1.2, 3, 3, 0.24, false, true}};
   d.coordinators = 2, d.proxies = 400;
-  d.rate_per_proxy = 1, d.backend_capacity = 24;
+  d.rate_per_proxy = 1, d.backend_capacity = 24, d.outlier_after = 5;
   return d;
 }
 
--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -192,6 +192,8 @@
   std::map<std::string, double> lines;
   std::map<std::string, double> credit;  // of the even pick
   std::map<std::string, int> failed_in_a_row;
+  double level = -1;  // what is let in: a share, or requests a second; below 0: all
+  double tokens = 0, filled_at = 0;
   std::map<std::string, double> kept_away_until;  // after `outlier-after` own tries in a row that failed
 };
 
@@ -557,7 +559,7 @@
   void request(Proxy& p, std::size_t cls, double at) {
     ++requests, ++p.usage[cls];
     Table& table = p.tables[cls];
-    const std::string picked = pick(table, at);
+    const std::string picked = let_in(table, at) ? pick(table, at) : std::string{};
     if (picked.empty()) {
       ++refused, ++unserved, ++p.usage_bad[cls];
       return;
@@ -580,6 +582,15 @@
       table.failed_in_a_row.erase(picked);
     }
   }
+  bool let_in(Table& table, double at) {
+    if (table.level < 0 || d.level_kind == "off") return true;
+    if (d.level_kind == "share") return table.level >= 1 || uniform(0, 1) < table.level;
+    table.tokens = std::min(table.tokens + (at - table.filled_at) * table.level, std::max(1.0, table.level));
+    table.filled_at = at;
+    if (table.tokens < 1) return false;
+    table.tokens -= 1;
+    return true;
+  }
   // The line that the next request takes; none if the table is empty. A backend that the proxy keeps away
   // from is taken only if there is no other.
   std::string pick(Table& table, double at) {
@@ -776,12 +787,14 @@
     if (words.empty() || words[0] != "update") throw CannotRun{"a line that no proxy reads: " + part};
     std::set<std::string> routes;
     bool full = false;
+    double level = -1;
     std::vector<std::pair<std::string, double>> lines;
     for (const auto& word : words) {
       const auto equals = word.find('=');
       if (equals == std::string::npos) continue;
       const std::string name = word.substr(0, equals), value = word.substr(equals + 1);
       if (name == "full") full = true;
+      if (name == "admit") level = std::strtod(value.c_str(), nullptr);
       if (name == "routes")
         for (const auto& route : split(value, '+')) routes.insert(route);
       if (name == "endpoints")
@@ -793,7 +806,8 @@
     for (std::size_t k = 0; k < d.classes.size(); ++k) {
       if (!routes.empty() && !routes.contains(d.classes[k].name)) continue;
       Table& table = p.tables[k];
-      if (full) table.lines.clear(), table.credit.clear();
+      if (full) table.lines.clear(), table.credit.clear(), table.level = -1;
+      if (level >= 0) table.level = level;
       for (const auto& [host, weight] : lines) {
         if (weight > 0)
           table.lines[host] = weight;
