--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -9,7 +9,10 @@
 fi
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-timeout -k 2 115 "$folder/case" "$scratch" "$folder/record.txt" "$run"
+timeout -k 2 115 "$folder/case" "$scratch" "$folder/record.txt" "$run" &
+player=$!
+trap 'kill "$player" 2>/dev/null; wait "$player"; exit 2' INT TERM HUP  # the coordinators end with it
+wait "$player"
 code=$?
 tail -n 1 "$folder/record.txt"
 ((code <= 1)) || code=2
--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -170,7 +170,8 @@
   double report_every_s = 2, report_late_s = 0.8, unserved_max_s = 2.9;
   double drain_grace_s = 1.5, cold_from = 0.18, cold_s = 15, tip_multiple = 4, tip_after_s = 2;
   double redial_from_s = 0.07, redial_to_s = 0.37;
-  int sockets = 1024;     // descriptors of a coordinator
+  int sockets = 1024;  // descriptors of a coordinator
+  bool removal_binds = true;
   int outlier_after = 0;  // 0: never
   double keep_away_s = 5;
   std::string discovery_mode = "subscribe", level_kind = "rate", selects_by = "weighted";
@@ -295,7 +296,16 @@
     const std::string line = list_text(version_, false, rows);
     note("discovery tells " + line);
     for (auto& call : calls_)
-      if (call.watching) write_chunk(call, line + "\n");
+      if (call.watching && earlier_list_.empty()) write_chunk(call, line + "\n");
+  }
+
+  // From now on discovery gives the list that it had when `remembered` was taken by remember_list(), or its
+  // own again if that is empty. Its watches end at the change.
+  [[nodiscard]] std::string remember_list() const { return whole_list(); }
+  void serve_list(const std::string& remembered) {
+    earlier_list_ = remembered;
+    for (auto& call : calls_) call.fd.reset();
+    note(remembered.empty() ? "discovery has its own list again" : "discovery gives an earlier list");
   }
 
   void start_coordinator(std::size_t number) {
@@ -430,7 +440,7 @@
     note("discovery is asked " + target);
     const auto from_at = target.find("from=");
     if (target.find("watch=1") == std::string::npos) {
-      const std::string body = whole_list() + "\n";
+      const std::string body = (earlier_list_.empty() ? whole_list() : earlier_list_) + "\n";
       call.output +=
           format("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
                  body.size()) +
@@ -439,6 +449,7 @@
     }
     call.output += "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
     call.watching = true;
+    if (!earlier_list_.empty()) return write_chunk(call, earlier_list_ + "\n");
     const std::uint64_t from =
         from_at == std::string::npos ? 0 : std::strtoull(target.c_str() + from_at + 5, nullptr, 10);
     std::string rows;
@@ -486,8 +497,9 @@
         R"("fleet-size":%d,"lanes":[%s],"limits":{"connect-timeout-s":0.3,"cpu-us-per-s":400000,"keepalive-s":15,"may-probe":false,"may-tell":false,"streams-per-conn":100},)",
         d.coordinators, lanes.c_str());
     text += format(
-        R"("models":["m"],"position":%zu,"resolution-s":0.002,"rules":{"ask-within-s":10,"cold-from":%g,"cold-s":%g,"drain-grace-s":%g,"tip-after-s":%g,"tip-multiple":%g},)",
-        position, d.cold_from, d.cold_s, d.drain_grace_s, d.tip_after_s, d.tip_multiple);
+        R"("models":["m"],"position":%zu,"resolution-s":0.002,"rules":{"ask-within-s":10,"cold-from":%g,"cold-s":%g,"drain-grace-s":%g,"removal-not-binding":%s,"tip-after-s":%g,"tip-multiple":%g},)",
+        position, d.cold_from, d.cold_s, d.drain_grace_s, flag(!d.removal_binds), d.tip_after_s,
+        d.tip_multiple);
     text += format(
         R"("telemetry":{"fields":["cpu"],"source":"inline"},"weight-kind":"off","worth-by":"request","zone":%zu,"zones":[%s]}})",
         position % d.zones.size(), zones.c_str());
@@ -855,6 +867,7 @@
   Fd discovery_;
   int discovery_port_ = 0, exit_status_ = 0;
   std::uint64_t version_ = 41;
+  std::string earlier_list_;
   std::vector<std::pair<std::uint64_t, std::string>> changes_;
   std::list<Call> calls_;
   std::map<std::string, std::size_t> index_;
