--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -260,7 +260,8 @@
   };
 
   double now() const { return steady() - begin_; }
-  void note(const std::string& text) { fprintf(record_, "%9.3f %s\n", now(), text.c_str()), fflush(record_); }
+  void note(const std::string& text) { record(text), fflush(record_); }
+  void record(const std::string& text) { fprintf(record_, "%9.3f %s\n", now(), text.c_str()); }
 
   // ---- What a case does ----
 
@@ -574,6 +575,7 @@
     const std::string picked = let_in(table, at) ? pick(table, at) : std::string{};
     if (picked.empty()) {
       ++refused, ++unserved, ++p.usage_bad[cls];
+      record(format("proxy %zu refuses %s", p.number, d.classes[cls].name.c_str()));
       return;
     }
     Backend& backend = backends[index_.at(picked)];
@@ -585,7 +587,11 @@
     const auto recent =
         std::count_if(backend.arrivals.begin(), backend.arrivals.end(), [&](double t) { return t > at - 1; });
     const bool full = static_cast<double>(recent) > 1.5 * capacity(backend, at) + 2;
-    if (!backend.alive || full || (backend.errored_share > 0 && uniform(0, 1) < backend.errored_share)) {
+    const bool failed =
+        !backend.alive || full || (backend.errored_share > 0 && uniform(0, 1) < backend.errored_share);
+    record(format("proxy %zu sends %s to %s: %s", p.number, d.classes[cls].name.c_str(), picked.c_str(),
+                  failed ? "failed" : "answered"));
+    if (failed) {
       ++heard.second, ++unserved, ++p.usage_bad[cls], ++backend.turned_away;
       if (d.outlier_after > 0 && ++table.failed_in_a_row[picked] >= d.outlier_after)
         table.failed_in_a_row[picked] = 0, table.kept_away_until[picked] = at + d.keep_away_s;
@@ -662,10 +668,10 @@
       const Report& r = due_.front();
       if (r.proxy >= 0) {
         Proxy& p = proxies[static_cast<std::size_t>(r.proxy)];
-        if (p.joined && p.stream == r.stream) write_all(p.fd, r.text);
+        if (p.joined && p.stream == r.stream) write_report(p.fd, r.text);
       } else if (Coordinator& c = coordinators[r.coordinator];
                  c.ready && r.zone < c.collectors.size() && c.collectors[r.zone]) {
-        write_all(c.collectors[r.zone], r.text);
+        write_report(c.collectors[r.zone], r.text);
       }
       due_.pop_front();
     }
@@ -673,6 +679,10 @@
 
   // ---- Streams ----
 
+  void write_report(Fd& fd, const std::string& text) {
+    record("report: " + text.substr(0, text.size() - 2));
+    write_all(fd, text);
+  }
   static void write_all(Fd& fd, const std::string& text) {
     if (fd) static_cast<void>(!::send(fd.number, text.data(), text.size(), MSG_NOSIGNAL));
   }
