End a case of the review with its script, also when that is killed

Cause: a script ended by SIGKILL left its case and the coordinators running until the case was over.

Changed: the case asks to be ended with its parent and bounds its own time; the timeout command between them is gone.

--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -9,9 +9,9 @@
 fi
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-timeout -k 2 115 "$folder/case" "$scratch" "$folder/record.txt" "$run" &
+"$folder/case" "$scratch" "$folder/record.txt" "$run" &
 player=$!
-trap 'kill "$player" 2>/dev/null; wait "$player"; exit 2' INT TERM HUP  # the coordinators end with it
+trap 'kill "$player" 2>/dev/null; wait "$player"; exit 2' INT TERM HUP  # the coordinators end with it, and it ends with this script
 wait "$player"
 code=$?
 tail -n 1 "$folder/record.txt"
--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -892,6 +892,8 @@
     fprintf(stderr, "usage: case FOLDER RECORD RUN-COMMAND, from the repository's root\n");
     return 2;
   }
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the script, however that ends
+  alarm(115);
   const char* trouble = std::getenv("TROUBLE");
   try {
     Scene scene{argv[1], argv[2], argv[3]};
