--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -212,6 +212,9 @@
         {"no_zone_line", stats.without_zone_line},
         {"messages_out", std::to_string(counts.messages_sent)},
         {"lines_out", std::to_string(sent_lines_)},
+        // The module's estimate: lines that wait, and lines_out with the overhead of all messages_out.
+        {"channel_backlog", fmt::format("{:.0f}", stats.channel_backlog)},
+        {"channel_written", fmt::format("{:.0f}", stats.channel_written)},
         {"bytes_out", std::to_string(counts.bytes_sent)},
         {"reports", std::to_string(counts.reports)},
         {"accepted", std::to_string(counts.accepted)},
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -21,6 +21,8 @@
 #include "policy/share_controller.hpp"
 #include "policy/subset_weights.hpp"
 #include "policy/table_ids.hpp"
+#include "policy/update_channel.hpp"
+#include "policy/withdrawals.hpp"
 #include "policy/zone_fallback.hpp"
 
 namespace gorsemount {
@@ -31,6 +33,7 @@
 constexpr std::size_t kMaxSamples = 8;  // longest look-back, in report rounds (a zone needs 200 tries)
 // Shorter than all timers below, far above the host's clock resolution.
 const Span kTickInterval = Span::seconds(0.25);
+constexpr double kMaxRemovalCost = 2;  // times the cost of the tables that a proxy waits for
 
 // Sums over a number of tries.
 struct TryStats {
@@ -99,9 +102,21 @@
 struct Proxy {
   ZoneId zone;
   double rate = 0;  // usual invocations a second
+  Instant joined;
   std::optional<std::size_t> subset;
   std::optional<TableId> bound;             // for the operations that any zone may serve
   std::optional<TableId> zone_bound_table;  // for those that only the proxy's zone may serve
+  std::uint64_t last_removal = 0;           // the last withdrawal that was removed from the table it brought
+  double removal_cost = 0;                  // of all messages with such removals, in lines
+  [[nodiscard]] bool is_bound() const { return bound.has_value(); }
+};
+
+// A proxy and the tables that it is to use, where it isn't bound to them yet.
+struct PendingBinding {
+  ProxyId id;
+  Proxy* proxy = nullptr;
+  std::optional<TableId> table, zone_bound_table;
+  double cost = 0;  // of the message with the tables, in lines
 };
 
 struct Admission {
@@ -121,7 +136,7 @@
 
 struct Policy::State {
   State(Settings initial, std::uint64_t seed)
-      : settings{std::move(initial)}, rng{static_cast<std::uint32_t>(seed)} {
+      : settings{std::move(initial)}, rng{static_cast<std::uint32_t>(seed)}, channel{settings} {
     report_interval = settings.report_every.seconds();
     arrived.resize(settings.operations.size()), arrival_ratios.resize(settings.operations.size());
     for (std::size_t k = 0; k < settings.operations.size(); ++k) {
@@ -179,8 +194,8 @@
   std::size_t subset_count = 0;  // 0: not partitioned yet
   bool subscribed = false;
   std::optional<Instant> first_join, next_subscribe, next_wake;
-  double channel_backlog = 0;  // lines in the channel as of channel_backlog_at
-  Instant channel_backlog_at;
+  UpdateChannel channel;
+  Withdrawals withdrawals;
 
   // ---- Events ----------------------------------------------------------------------------------------
 
@@ -192,6 +207,7 @@
       return;
     }
     if (e.scope != ListScope::cached) subscribed = true;
+    note_withdrawals(e);
     std::set<BackendId> removed;
     if (e.scope != ListScope::delta)
       for (const auto& [id, b] : backends) removed.insert(id);
@@ -227,6 +243,31 @@
     }
   }
 
+  // Keeps which backends the proxies must stop using, for the tables that joining proxies bring along. Where
+  // removal from the list is not binding, only a backend that drains is withdrawn.
+  void note_withdrawals(const BackendListUpdate& e) {
+    std::set<BackendId> listed;
+    for (const auto& entry : e.entries) {
+      listed.insert(entry.backend);
+      if (entry.availability == Availability::draining) {
+        withdrawals.withdraw(entry.backend);
+      } else if (entry.availability == Availability::ready) {
+        withdrawals.restore(entry.backend);
+      } else {
+        note_gone(entry.backend);
+      }
+    }
+    if (e.scope == ListScope::delta) return;
+    for (const auto& [id, b] : backends)
+      if (!listed.contains(id)) note_gone(id);
+  }
+
+  void note_gone(BackendId id) {
+    const auto b = backends.find(id);
+    if (b == backends.end()) return;
+    if (settings.removal_binds || !ready(b->second)) withdrawals.withdraw_gone(now, id);
+  }
+
   // A new backend goes to the subset with the least weight in its zone. If a fleet is replaced backend by
   // backend its size stays the same; assigning by size would put all new backends into one subset and drain
   // the others.
@@ -238,7 +279,10 @@
   }
 
   void on_event(const ProxyJoined& e) {
-    proxies[e.proxy] = Proxy{e.zone, e.usual_rate, {}, {}, {}};
+    Proxy& proxy = proxies[e.proxy] = {};
+    proxy.zone = e.zone;
+    proxy.rate = e.usual_rate;
+    proxy.joined = now;
     if (!first_join) first_join = now;
   }
 
@@ -745,17 +789,6 @@
 
   // ---- Orders ----------------------------------------------------------------------------------------
 
-  // Lines still in the channel, assuming half of the stated push rate, as on a slow day.
-  double current_backlog() const {
-    return std::max(0.0, channel_backlog - (now - channel_backlog_at).seconds() * settings.push_rate * 0.5);
-  }
-
-  // How many lines may wait in the channel ahead of deferrable orders: a required removal must arrive
-  // within the drain grace.
-  double deferrable_backlog() const {
-    return std::min(0.5 * settings.backlog, 0.2 * settings.drain_grace.seconds() * settings.push_rate);
-  }
-
   // The difference between a table and what was sent, by how long it may wait.
   struct TableChanges {
     std::vector<Order> required;    // removals and reductions of draining, gone or cold backends
@@ -826,24 +859,24 @@
     auto& sent = have.message_times;
     while (!sent.empty() && now - sent.front() > settings.messages_window) sent.pop_front();
     const auto cost = [&](std::size_t n) {
-      return have.proxy_count * (settings.per_message + static_cast<double>(n));
+      return have.proxy_count * channel.message_cost(static_cast<double>(n));
     };
     const auto fits = [&](std::size_t n) {
-      return have.proxy_count <= 0 || current_backlog() + cost(n) <= 0.9 * settings.backlog;
+      return have.proxy_count <= 0 || channel.has_room_for(now, cost(n));
     };
     const bool interval_passed = now - have.last_sent >= Span::seconds(0.5);
     const bool under_cap =
         settings.messages_most == 0 ||
         static_cast<double>(sent.size()) < 0.6 * settings.messages_most / tables_per_proxy();
-    const bool room = current_backlog() + cost(required.size() + needed.size() + deferrable.size()) <=
-                      (forced ? 0.8 * settings.backlog : deferrable_backlog());
+    const bool room = channel.backlog(now) + cost(required.size() + needed.size() + deferrable.size()) <=
+                      (forced ? channel.change_limit() : channel.deferrable_limit());
     std::vector<Order> orders = required;
     if (fits(required.size() + needed.size())) orders.insert(orders.end(), needed.begin(), needed.end());
     if (have.proxy_count <= 0 || (room && (forced || (interval_passed && under_cap))))
       orders.insert(orders.end(), deferrable.begin(), deferrable.end());
     if (orders.empty() || !fits(orders.size())) return;
     if (have.proxy_count > 0) sent.push_back(now), have.last_sent = now;
-    channel_backlog = current_backlog() + cost(orders.size()), channel_backlog_at = now;
+    channel.write(now, cost(orders.size()));
     for (const auto& order : orders) send_order(number, order);
   }
 
@@ -873,10 +906,8 @@
     for (const auto& [last, number] : waiting) send_table(number, wanted_tables[number], false);
   }
 
-  // Assigns new proxies to subsets by their rate relative to the subset's weight, highest rate first,
-  // and binds as many as the channel has room for.
-  void bind_proxies() {
-    if (subset_count == 0) return;
+  // Assigns new proxies to subsets by their rate relative to the subset's weight, highest rate first.
+  void assign_subsets() {
     std::vector<double> load(subset_count, 0), room(subset_count, 1e-9);
     for (std::size_t k = 0; k < subset_count; ++k)
       for (const auto& [id, weight] : wanted_tables[table_id(k)].weights) room[k] += weight;
@@ -890,39 +921,127 @@
         if ((load[k] + p->rate) / room[k] < (load[best] + p->rate) / room[best]) best = k;
       p->subset = best, load[best] += p->rate;
     }
+  }
+
+  // The proxies that are to use other tables than they are bound to: first those that use the tables they
+  // brought, in the order in which they joined, then the others.
+  std::vector<PendingBinding> pending_bindings() {
+    std::vector<PendingBinding> pending;
     for (auto& [id, p] : proxies) {
       const TableId link_table = link_table_id(*p.subset, p.zone);
       const TableId table = wanted_tables.contains(link_table) ? link_table : table_id(*p.subset);
-      if (sent_tables[table].weights.empty()) continue;
-      const bool all = zone_bound_operations.empty();
-      if (!bind(id, p.bound, table, all ? std::vector<OperationId>{} : other_operations)) break;
-      if (all) continue;
+      if (sent_tables[table].weights.empty()) {
+        // There is nothing to bind it to yet; only removals can be sent.
+        if (!p.is_bound()) pending.push_back({id, &p, {}, {}, 0});
+        continue;
+      }
+      PendingBinding binding{id, &p, {}, {}, 0};
+      if (p.bound != table) binding.table = table;
       // Even a table without lines: the proxy's former one may have lines of other zones.
       const TableId zone_bound_table = zone_bound_table_id(*p.subset, p.zone);
-      if (!bind(id, p.zone_bound_table, zone_bound_table, zone_bound_operations)) break;
+      if (!zone_bound_operations.empty() && p.zone_bound_table != zone_bound_table)
+        binding.zone_bound_table = zone_bound_table;
+      if (!binding.table && !binding.zone_bound_table) continue;
+      binding.cost = binding_cost(binding);
+      pending.push_back(binding);
     }
+    std::stable_sort(pending.begin(), pending.end(), [](const PendingBinding& a, const PendingBinding& b) {
+      if (a.proxy->is_bound() != b.proxy->is_bound()) return b.proxy->is_bound();
+      return a.proxy->joined < b.proxy->joined;
+    });
+    return pending;
   }
 
-  // Binds a proxy to a table unless it is bound already. Returns false if the channel has no room.
-  bool bind(ProxyId proxy, std::optional<TableId>& bound, TableId table,
-            const std::vector<OperationId>& operations) {
-    if (bound == table) return true;
+  // If all operations are bound to the zone, none uses the table for other operations.
+  [[nodiscard]] bool is_used(const std::vector<OperationId>& operations) const {
+    return !operations.empty() || zone_bound_operations.empty();
+  }
+
+  // Both tables go to the proxy in one message.
+  double binding_cost(const PendingBinding& binding) {
+    double lines = 0;
+    if (binding.table && is_used(other_operations)) lines += table_lines(*binding.table);
+    if (binding.zone_bound_table) lines += table_lines(*binding.zone_bound_table);
+    return lines > 0 ? channel.message_cost(lines) : 0;
+  }
+
+  // The lines of a whole table: its weights, its levels and the mark that it is whole.
+  double table_lines(TableId table) {
     const Table& have = sent_tables[table];
-    const double binding_cost =
-        settings.per_message + 1 + static_cast<double>(have.weights.size() + have.admissions.size());
-    if (current_backlog() + binding_cost > 0.8 * settings.backlog) return false;
-    bound = table;
-    // If all operations are bound to the zone, none uses the other table; an empty list would mean all.
-    if (operations.empty() && !zone_bound_operations.empty()) return true;
-    out.emplace_back(BindProxy{proxy, table, operations});
-    channel_backlog = current_backlog() + binding_cost, channel_backlog_at = now;
-    return true;
+    const auto levels = std::count_if(have.admissions.begin(), have.admissions.end(),
+                                      [](const Admission& admission) { return admission.limit >= 0; });
+    return 1 + static_cast<double>(have.weights.size()) + static_cast<double>(levels);
+  }
+
+  void bind(const PendingBinding& binding) {
+    Proxy& p = *binding.proxy;
+    if (binding.table) {
+      p.bound = binding.table;
+      const bool all_operations = zone_bound_operations.empty();
+      if (is_used(other_operations))
+        out.emplace_back(BindProxy{binding.id, *binding.table,
+                                   all_operations ? std::vector<OperationId>{} : other_operations});
+    }
+    if (binding.zone_bound_table) {
+      p.zone_bound_table = binding.zone_bound_table;
+      out.emplace_back(BindProxy{binding.id, *binding.zone_bound_table, zone_bound_operations});
+    }
+    channel.write(now, binding.cost);
+  }
+
+  // Lines that it takes to tell a proxy in time which backends it must stop using: those that the table it
+  // brought may still name, or the next one that drains.
+  double owed_to(const Proxy& p) const {
+    if (p.is_bound()) return channel.message_cost(1);
+    if (!settings.can_edit_unordered_tables) return 0;
+    return channel.message_cost(std::max(1.0, static_cast<double>(withdrawals.count_after(p.last_removal))));
+  }
+
+  // Binds as many proxies as the channel has room for. Removals are owed within the drain grace, whole tables
+  // are not, so tables leave room for the removals of all proxies; and a proxy that has to wait for its
+  // tables is told of the removals alone.
+  void bind_proxies() {
+    if (subset_count == 0) return;
+    assign_subsets();
+    const auto pending = pending_bindings();
+    if (pending.empty()) return;
+    double owed = 0;
+    for (const auto& [id, p] : proxies) owed += owed_to(p);
+    bool has_room = true;
+    for (const auto& binding : pending) {
+      const double owed_after = owed - owed_to(*binding.proxy) + channel.message_cost(1);
+      has_room = has_room && channel.backlog(now) + binding.cost <= channel.table_limit(owed_after);
+      if (has_room && (binding.table || binding.zone_bound_table)) {
+        bind(binding);
+        owed = owed_after;
+      } else if (!binding.proxy->is_bound()) {
+        order_removals(binding);
+      }
+    }
+  }
+
+  // Removes withdrawn backends from the table that a proxy brought along. In all, these messages cost less
+  // than kMaxRemovalCost times the proxy's whole tables, so no table waits for ever behind them.
+  void order_removals(const PendingBinding& binding) {
+    if (!settings.can_edit_unordered_tables) return;
+    Proxy& p = *binding.proxy;
+    auto withdrawn = withdrawals.after(p.last_removal);
+    if (withdrawn.empty()) return;
+    const double cost = channel.message_cost(static_cast<double>(withdrawn.size()));
+    const bool cheaper_than_tables =
+        binding.cost <= 0 || p.removal_cost + cost < kMaxRemovalCost * binding.cost;
+    if (!cheaper_than_tables || !channel.has_room_for(now, cost)) return;
+    out.emplace_back(RemoveBackends{binding.id, std::move(withdrawn)});
+    p.last_removal = withdrawals.last_number();
+    p.removal_cost += cost;
+    channel.write(now, cost);
   }
 
   std::vector<Order> handle(Instant at, const std::vector<Event>& events) {
     now = at;
     out.clear();
     for (const auto& event : events) std::visit([this](const auto& e) { on_event(e); }, event);
+    withdrawals.forget_expired(now);
     process_reports();
     if (settings.explicit_subscription && !subscribed && (!next_subscribe || now >= *next_subscribe)) {
       next_subscribe = now + settings.subscribe_timeout * 0.5;  // retry after half of the timeout
@@ -943,6 +1062,10 @@
   }
 };
 
+Policy::ChannelEstimate Policy::channel_estimate(Instant now) const {
+  return {state_->channel.backlog(now), state_->channel.total_written()};
+}
+
 PolicySnapshot Policy::snapshot(Instant now) const {
   PolicySnapshot saved;
   const auto state = [now](const ShareController& control) {
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -38,11 +38,14 @@
   double backlog = 0;      // capacity of its queue
   double push_rate = 0;    // lines a second
   double per_message = 0;  // overhead of a message, in lines
+  Span propagation;        // mean time from leaving the channel to taking effect
   int messages_most = 0;   // per proxy and messages_window; 0: no limit
   Span messages_window;
   double proxies = 0;  // of all coordinators
   double coordinators = 1;
   Span keepalive;  // proxies close connections that are idle for this long
+  // The host can carry out RemoveBackends: change the table that a proxy brought along.
+  bool can_edit_unordered_tables = false;
   // Safety limits.
   Span subscribe_timeout;
   Span drain_grace;           // time to remove a draining backend from all tables
@@ -105,6 +108,11 @@
   TableId table;
   std::vector<OperationId> operations = {};  // that use the table; empty: all
 };
+// Removes lines from the table that a proxy brought along, before it is bound to one.
+struct RemoveBackends {
+  ProxyId proxy;
+  std::vector<BackendId> backends;
+};
 struct SetAdmission {
   TableId table;
   OperationId operation;
@@ -116,7 +124,7 @@
   Span after;
   TimerTag tag;
 };
-using Order = std::variant<SetWeight, BindProxy, SetAdmission, SubscribeToList, SetTimer>;
+using Order = std::variant<SetWeight, BindProxy, RemoveBackends, SetAdmission, SubscribeToList, SetTimer>;
 
 // Learned state for a restarted or another instance. Holds only targets with a reduced share or failed
 // trials. Spans are relative to the time of the snapshot; `next_step_in` may be negative.
@@ -146,6 +154,12 @@
   // Takes all events of one time; the orders take effect in the order returned.
   [[nodiscard]] std::vector<Order> handle(Instant now, const std::vector<Event>& events);
 
+  // The estimate of the channel: the lines that wait in it, and all that were written to it.
+  struct ChannelEstimate {
+    double backlog = 0, written = 0;
+  };
+  [[nodiscard]] ChannelEstimate channel_estimate(Instant now) const;
+
   [[nodiscard]] PolicySnapshot snapshot(Instant now) const;
   // Merges another instance's state. The lower share is kept, so this never raises a share; the state of a
   // backend that is not listed is held until it is.
--- a/src/settings_json/settings.cpp
+++ b/src/settings_json/settings.cpp
@@ -85,6 +85,7 @@
   settings.backlog = family.number("backlog");
   settings.push_rate = family.number("push-rate");
   settings.per_message = family.number("per-message");
+  if (family.has("propagation-s")) settings.propagation = family.span("propagation-s");
   settings.messages_most = static_cast<int>(family.unsigned_integer("messages-most", kMaxCount));
   settings.messages_window = family.span("update-window-s");
   settings.proxies = static_cast<double>(family.unsigned_integer("proxies", kMaxProxies));
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,5 +1,7 @@
 #include "simhost/wire.hpp"
 
+#include <stdexcept>
+
 #include <utility>
 
 namespace gorsemount::simhost {
@@ -107,6 +109,10 @@
               {"sheet", order.table.value},
               {"mask", operations}};
     }
+    // Settings::can_edit_unordered_tables is off here: the wire changes tables, not what a proxy brought along.
+    Json operator()(const RemoveBackends&) const {
+      throw std::logic_error{"the wire has no order that changes the table of one proxy"};
+    }
     Json operator()(const SetAdmission& order) const {
       return {{"t", "throttle"},
               {"sheet", order.table.value},
--- a/src/streams/policy_host.cpp
+++ b/src/streams/policy_host.cpp
@@ -12,22 +12,33 @@
 // How long an unlisted backend that is in no table is kept, for reports still in transit.
 const Span kUnlistedRetention = Span::seconds(30);
 
+// A change of weights on a proxy's stream applies to the table that it brought, until a whole one is sent.
+Settings with_host_abilities(Settings settings) {
+  settings.can_edit_unordered_tables = true;
+  return settings;
+}
+
 }  // namespace
 
 PolicyHost::PolicyHost(Settings settings, IdNames names, std::uint64_t seed, Instant unix_epoch,
                        ReportBatching batching)
-    : policy_{settings, seed},
+    : policy_{with_host_abilities(settings), seed},
       names_{std::move(names)},
       proxy_count_{settings.proxies},
       removal_is_binding_{settings.removal_binds},
       unix_epoch_{unix_epoch},
       batching_{batching},
-      tables_{names_.operations, [this](BackendId id) -> std::string_view { return backends_.at(id).name; }} {
+      tables_{names_.operations, [this](BackendId id) { return backend_name(id); }} {
   for (std::size_t k = 0; k < settings.operations.size(); ++k)
     if (settings.operations[k].zone_bound)
       zone_bound_operations_.push_back(OperationId{static_cast<std::uint8_t>(k)});
 }
 
+std::string_view PolicyHost::backend_name(BackendId id) const {
+  const auto backend = backends_.find(id);
+  return backend == backends_.end() ? std::string_view{} : backend->second.name;
+}
+
 BackendId PolicyHost::id_for(const std::string& name) {
   const auto [it, inserted] = backend_ids_.try_emplace(name);
   if (inserted) {
@@ -239,6 +250,9 @@
                       std::to_string(level.level) + "/" + std::to_string(static_cast<int>(level.tries));
   }
   stats.without_zone_line = zones_without_line();
+  const auto channel = policy_.channel_estimate(now_);
+  stats.channel_backlog = channel.backlog;
+  stats.channel_written = channel.written;
   return stats;
 }
 
--- a/src/streams/policy_host.hpp
+++ b/src/streams/policy_host.hpp
@@ -75,6 +75,9 @@
     std::string failing;  // backends with errored tries, as `name:errored/tries`
     // Zones whose proxies have no line for an operation that is bound to their zone, as `zone:proxies`.
     std::string without_zone_line;
+    // The module's estimate of the channel, in lines and with the overhead of each message: what waits in it,
+    // and all that was written to it.
+    double channel_backlog = 0, channel_written = 0;
   };
   [[nodiscard]] Stats take_stats();
 
@@ -85,6 +88,7 @@
     Availability availability = Availability::ready;
     std::optional<Instant> unlisted_since;  // empty while it is listed
   };
+  [[nodiscard]] std::string_view backend_name(BackendId id) const;
   [[nodiscard]] BackendId id_for(const std::string& name);
   void mark_unlisted(BackendId id);
   void forget_unlisted();
--- a/src/streams/proxy_tables.cpp
+++ b/src/streams/proxy_tables.cpp
@@ -9,6 +9,7 @@
 std::vector<ProxyTables::Delivery> ProxyTables::apply(const std::vector<Order>& orders) {
   std::map<TableId, Table> changed;
   std::set<std::pair<ProxyId, TableId>> newly_bound;
+  Removals removals;
   for (const auto& order : orders) {
     if (const auto* line = std::get_if<SetWeight>(&order)) {
       auto& weights = tables_[line->table].weights;
@@ -25,26 +26,47 @@
     } else if (const auto* binding = std::get_if<BindProxy>(&order)) {
       bind(*binding);
       newly_bound.emplace(binding->proxy, binding->table);
+    } else if (const auto* removal = std::get_if<RemoveBackends>(&order)) {
+      removals[removal->proxy] = removal->backends;
     }
   }
   std::vector<Delivery> deliveries;
+  add_removals(removals, deliveries);
   if (changed.empty() && newly_bound.empty()) return deliveries;
   std::map<std::vector<TableUpdate>, std::shared_ptr<const EncodedMessage>> messages;
+  std::vector<Delivery> whole_tables;
   for (const auto& [proxy, bindings] : bindings_) {
     std::vector<TableUpdate> updates;
+    bool has_whole_table = false;
     for (const auto& binding : bindings) {
       const bool full = newly_bound.contains({proxy, binding.table});
+      has_whole_table = has_whole_table || full;
       if (full || changed.contains(binding.table))
         updates.push_back({binding.table, full, binding.operations});
     }
     if (updates.empty()) continue;
     auto& message = messages[updates];
     if (!message) message = encode(updates, changed);
-    deliveries.push_back({proxy, message});
+    (has_whole_table ? whole_tables : deliveries).push_back({proxy, message});
   }
+  deliveries.insert(deliveries.end(), whole_tables.begin(), whole_tables.end());
   return deliveries;
 }
 
+void ProxyTables::add_removals(const Removals& removals, std::vector<Delivery>& deliveries) const {
+  std::map<std::vector<BackendId>, std::shared_ptr<const EncodedMessage>> messages;
+  for (const auto& [proxy, backends] : removals) {
+    auto& message = messages[backends];
+    if (!message) {
+      Update update;
+      for (const BackendId backend : backends)
+        if (const auto name = backend_name_(backend); !name.empty()) update.endpoints.push_back({name, 0});
+      message = std::make_shared<const EncodedMessage>(encode_updates({update}));
+    }
+    if (message->line_count > 0) deliveries.push_back({proxy, message});
+  }
+}
+
 void ProxyTables::bind(const BindProxy& order) {
   auto& bindings = bindings_[order.proxy];
   std::erase_if(bindings, [&](const Binding& binding) {
--- a/src/streams/proxy_tables.hpp
+++ b/src/streams/proxy_tables.hpp
@@ -19,12 +19,14 @@
     ProxyId proxy;
     std::shared_ptr<const EncodedMessage> message;
   };
-  using BackendName = std::function<std::string_view(BackendId)>;
+  using BackendName = std::function<std::string_view(BackendId)>;  // empty: not known any more
 
   ProxyTables(std::vector<std::string> operations, BackendName backend_name)
       : operations_{std::move(operations)}, backend_name_{std::move(backend_name)} {}
 
   void remove_proxy(ProxyId proxy) { bindings_.erase(proxy); }  // its next stream starts without a table
+  // Returns the messages in the order in which they are to be written: first those that remove backends from
+  // tables that proxies brought along, then changes of tables, and last whole tables, which take longest.
   [[nodiscard]] std::vector<Delivery> apply(const std::vector<Order>& orders);
   [[nodiscard]] bool contains(BackendId backend) const;  // in any table
 
@@ -52,7 +54,9 @@
     auto operator<=>(const TableUpdate&) const = default;
   };
 
+  using Removals = std::map<ProxyId, std::vector<BackendId>>;
   void bind(const BindProxy& order);
+  void add_removals(const Removals& removals, std::vector<Delivery>& deliveries) const;
   [[nodiscard]] std::shared_ptr<const EncodedMessage> encode(const std::vector<TableUpdate>& updates,
                                                              const std::map<TableId, Table>& changed) const;
   [[nodiscard]] Update to_update(const TableUpdate& table_update, const Table& contents) const;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -280,8 +280,8 @@
   // The fleet shrinks slowly until it is partitioned anew, which binds some proxies at once.
   std::set<TableId> waiting;
   for (unsigned k = kBackends; k > kBackendsLeft && waiting.empty(); --k) {
-    wait(1);
     const auto before = bound;
+    wait(1);
     send({BackendListUpdate{ListScope::delta, {PolicyFixture::entry(k - 1, Availability::gone)}}});
     if (before == bound) continue;
     for (const auto& [proxy, table] : bound)
