--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -46,6 +46,18 @@
 }
 constexpr std::size_t kMaxPendingConnections = 512;
 
+// A peer may send this many times the reports that the settings let through a second: a collector that was
+// held up sends those of several seconds at once.
+constexpr double kPeerRateFactor = 4;
+streams::StreamServer::Limits stream_limits(const CoordinatorConfig& config) {
+  streams::StreamServer::Limits limits;
+  limits.max_connections = max_stream_connections(config);
+  limits.max_pending = kMaxPendingConnections;
+  if (config.settings.max_report_rate > 0)
+    limits.max_message_rate = kPeerRateFactor * config.settings.max_report_rate;
+  return limits;
+}
+
 std::string format_counts(const std::map<std::string, std::uint64_t>& counts) {
   std::string text;
   for (const auto& [name, count] : counts)
@@ -65,8 +77,7 @@
                config_.seed,
                {[this](discovery::BackendList list) { on_backend_list(list); },
                 [this](const std::string& why) { on_watch_failure(why); }}},
-        stream_server_{
-            loop_, config_.listen, {max_stream_connections(config_), kMaxPendingConnections}, callbacks()} {
+        stream_server_{loop_, config_.listen, stream_limits(config_), callbacks()} {
     loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
     loop_.on_signal(SIGINT, [this] { stop("SIGINT"); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -221,11 +232,13 @@
         {"joins", std::to_string(counts.joins)},
         {"protocol_errors", std::to_string(counts.protocol_errors)},
         {"not_reading", std::to_string(counts.slow_consumers)},
+        {"over_rate", std::to_string(counts.over_rate)},
         {"malformed", format_counts(counts.malformed)},
         {"refused", format_counts(counts.refusals)},
         {"turns", std::to_string(loop_.turns())},
         {"steps", std::to_string(steps_)},
         {"longest_turn_ms", fmt::format("{:.2f}", loop_.take_longest_turn().seconds() * 1000)},
+        {"longest_read_wait_ms", fmt::format("{:.2f}", loop_.take_longest_read_wait().seconds() * 1000)},
         {"longest_step_ms", fmt::format("{:.2f}", longest_step_.seconds() * 1000)},
         {"longest_decision_ms", fmt::format("{:.2f}", longest_decision_.seconds() * 1000)}};
     for (const auto& [zone, zone_stats] : stats.zones)
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -84,7 +84,7 @@
     if (!fd) return end_call(*call, error == ECONNREFUSED ? "connection refused" : "connect failed");
     set_deadline(*call, loop_.now() + timeouts_.response, "response timed out");
     call->connection = net::Connection::make(
-        loop_, std::move(fd), {kMaxBodyBytes, 1U << 16U, Span{}, true},
+        loop_, std::move(fd), {kMaxBodyBytes, 1U << 16U, Span{}, true, net::ReadPriority::high},
         [this, call](std::string_view bytes) -> std::size_t {
           if (!is_current(*call)) return bytes.size();
           // A response may arrive slowly as long as it makes progress, up to the total timeout.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -74,6 +74,34 @@
   static_cast<void>(!write(post_event_fd_.get(), &one, sizeof one));
 }
 
+void Loop::queue_read(ReadPriority priority, ReadTask task) {
+  waiting_reads_[static_cast<std::size_t>(priority)].push_back({now_, std::move(task)});
+}
+
+bool Loop::has_waiting_reads() const {
+  return std::any_of(waiting_reads_.begin(), waiting_reads_.end(),
+                     [](const auto& queue) { return !queue.empty(); });
+}
+
+std::size_t Loop::run_oldest_read(std::deque<WaitingRead>& queue) {
+  const WaitingRead read = std::move(queue.front());
+  queue.pop_front();
+  longest_read_wait_ = std::max(longest_read_wait_, now_ - read.queued_at);
+  return read.task();
+}
+
+void Loop::run_reads() {
+  std::size_t bytes = 0;
+  for (auto& queue : waiting_reads_)
+    if (!queue.empty() && !stopped_) bytes += run_oldest_read(queue);
+  while (bytes < kReadBytesPerTurn && !stopped_) {
+    const auto next = std::find_if(waiting_reads_.begin(), waiting_reads_.end(),
+                                   [](const auto& queue) { return !queue.empty(); });
+    if (next == waiting_reads_.end()) return;
+    bytes += run_oldest_read(*next);
+  }
+}
+
 void Loop::cancel(Timer& timer) {
   if (timer.number != 0) timers_.erase(timer);
   timer = {};
@@ -104,7 +132,7 @@
   const Instant previous_begin = now_;
   now_ = monotonic_now();
   if (turns_ > 1) longest_turn_ = std::max(longest_turn_, now_ - previous_begin);
-  if (!deferred_tasks_.empty()) {
+  if (!deferred_tasks_.empty() || has_waiting_reads()) {
     timeout_ms = 0;
   } else if (!timers_.empty()) {
     const double remaining = (timers_.begin()->first.at - now_).seconds();
@@ -126,6 +154,7 @@
     timers_.erase(timers_.begin());
     task();
   }
+  run_reads();
   const auto tasks = std::exchange(deferred_tasks_, {});
   for (const auto& task : tasks) task();
 }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -1,7 +1,9 @@
 // Single-threaded event loop on edge-triggered epoll: descriptors, timers, signals and deferred tasks.
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,10 +19,14 @@
 // The only function that reads the monotonic clock.
 [[nodiscard]] Instant monotonic_now();
 
+// The order in which waiting reads are done. `low` is for peers that send more than their share.
+enum class ReadPriority : std::uint8_t { high, normal, low };
+
 class Loop {
  public:
   using Handler = std::function<void(std::uint32_t events)>;
   using Task = std::function<void()>;
+  using ReadTask = std::function<std::size_t()>;  // reads once; returns the number of bytes read
   struct Timer {
     Instant at;
     std::uint64_t number = 0;
@@ -39,6 +45,10 @@
   void cancel(Timer& timer);  // no effect on an empty timer or one that has fired
   // Runs the task after the current handlers and timers.
   void call_soon(Task task) { deferred_tasks_.push_back(std::move(task)); }
+  // Runs the task once, after the events and timers of a turn. A turn stops after kReadBytesPerTurn, so that
+  // peers that send much delay neither events nor timers; the other tasks wait for the next turn. The oldest
+  // task of each priority runs in each turn, then all others by priority.
+  void queue_read(ReadPriority priority, ReadTask task);
   // Runs a task on the loop's thread. May be called from any thread.
   void post(Task task);
   // Runs the task at the signal, whose default action is blocked. Throws std::system_error.
@@ -51,15 +61,28 @@
   // Longest time since the last call that one turn spent on its handlers, timers and tasks, during which
   // nothing else was handled.
   [[nodiscard]] Span take_longest_turn() { return std::exchange(longest_turn_, Span{}); }
+  // Longest time since the last call that a read waited for its turn.
+  [[nodiscard]] Span take_longest_read_wait() { return std::exchange(longest_read_wait_, Span{}); }
 
  private:
+  static constexpr std::size_t kReadBytesPerTurn = 128U << 10U;
+  static constexpr std::size_t kReadPriorities = 3;
+  struct WaitingRead {
+    Instant queued_at;
+    ReadTask task;
+  };
+
   void turn();
+  [[nodiscard]] bool has_waiting_reads() const;
+  void run_reads();
+  std::size_t run_oldest_read(std::deque<WaitingRead>& queue);
 
   Fd epoll_;
   Instant now_;
   bool stopped_ = false;
   std::uint64_t turns_ = 0;
-  Span longest_turn_;
+  Span longest_turn_, longest_read_wait_;
+  std::array<std::deque<WaitingRead>, kReadPriorities> waiting_reads_;  // by priority
   struct Registration {
     std::uint32_t generation = 0;  // distinguishes registrations of a reused descriptor number
     std::shared_ptr<Handler> handler;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -80,7 +80,6 @@
 constexpr int kSocketBufferBytes = 4 << 20;
 constexpr int kAcceptsPerTurn = 64;   // connections accepted before yielding to the loop
 constexpr int kBatchesPerTurn = 16;   // batches before yielding to the loop: about 1 ms of responses
-constexpr int kReadsPerTurn = 16;     // reads from one connection before yielding to the loop: 256 KiB
 constexpr int kListenBacklog = 4096;  // a whole fleet may connect at once
 
 }  // namespace
@@ -228,9 +227,10 @@
   if (fd_) restart_idle_timer();
 }
 
-void Connection::read_now() {
+std::size_t Connection::read_now(std::size_t max_bytes) {
   const auto self = shared_from_this();
-  read_all();
+  const std::size_t bytes = read(max_bytes);
+  return bytes;
 }
 
 void Connection::half_close() {
@@ -255,39 +255,53 @@
 void Connection::handle_events(std::uint32_t events) {
   const auto self = shared_from_this();
   if ((events & EPOLLOUT) != 0) flush();
-  if (fd_ && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) read_all();
+  if (!fd_) return;
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) queue_read();
 }
 
-void Connection::read_all() {
-  if (reading_) return;
+void Connection::queue_read() {
+  if (std::exchange(read_queued_, true)) return;
+  loop_.queue_read(limits_.priority, [weak = weak_from_this()]() -> std::size_t {
+    const auto strong = weak.lock();
+    if (!strong) return 0;
+    strong->read_queued_ = false;
+    const std::size_t bytes = strong->read(kReadBytes);
+    return bytes;
+  });
+}
+
+// Reads until nothing is left or `max_bytes` are read, and queues itself for the rest. Returns the number of
+// bytes read.
+std::size_t Connection::read(std::size_t max_bytes) {
+  if (!fd_ || reading_) return 0;
+  if (!limits_.always_read && unsent() > limits_.max_unsent / 2) {
+    reading_paused_ = true;  // backpressure: process no more input until the peer reads its responses
+    return 0;
+  }
   reading_ = true;
-  std::array<char, 16384> chunk;
-  for (int reads = 0; fd_; ++reads) {
-    if (reads == kReadsPerTurn) {  // yield, so that a fast sender does not starve other handlers
-      if (!std::exchange(read_scheduled_, true))
-        loop_.call_soon([weak = weak_from_this()] {
-          if (const auto strong = weak.lock()) strong->read_scheduled_ = false, strong->read_all();
-        });
-      break;
-    }
-    if (!limits_.always_read && unsent() > limits_.max_unsent / 2) {
-      reading_paused_ = true;  // backpressure: process no more input until the peer reads its responses
-      break;
-    }
-    const ssize_t n = ::read(fd_.get(), chunk.data(), chunk.size());
+  std::array<char, kReadBytes> chunk;
+  std::size_t bytes = 0;
+  const char* end = nullptr;
+  bool would_block = false;
+  while (bytes < max_bytes && end == nullptr && !would_block) {
+    const ssize_t n = ::read(fd_.get(), chunk.data(), std::min(chunk.size(), max_bytes - bytes));
     if (n > 0) {
       input_.append(chunk.data(), static_cast<std::size_t>(n));
-      deliver_input();
-      if (fd_) flush();
+      bytes += static_cast<std::size_t>(n);
     } else if (n == 0) {
-      close("closed by the peer");
+      end = "closed by the peer";
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-      break;
+      would_block = true;
     } else if (errno != EINTR) {
-      close("reset");
+      end = "reset";
     }
   }
+  if (bytes > 0) deliver_input();
+  if (fd_) flush();
+  if (fd_ && end != nullptr) close(end);
+  if (fd_ && !would_block) queue_read();
   reading_ = false;
+  return bytes;
 }
 
 void Connection::deliver_input() {
@@ -337,7 +351,10 @@
   if (reading_paused_ && unsent() <= limits_.max_unsent / 2) {
     reading_paused_ = false;
     loop_.call_soon([weak = weak_from_this()] {
-      if (const auto strong = weak.lock(); strong && strong->fd_) strong->deliver_input(), strong->read_all();
+      const auto strong = weak.lock();
+      if (!strong || !strong->fd_) return;
+      strong->deliver_input();
+      if (strong->fd_) strong->queue_read();
     });
   }
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -51,6 +51,7 @@
 // - It closes when `on_data` leaves more than `max_unconsumed` bytes ("too much").
 // - Reading pauses while the send buffer is over half of `max_unsent`; it closes beyond `max_unsent`
 //   ("not reading"). With `always_read` reading never pauses, and beyond `max_unsent` it is reset.
+// - Input is read in pieces of kReadBytes by the loop's queue of reads, in the order of `priority`.
 // - It closes after `idle_timeout` without progress ("idle"); an incomplete message is no progress.
 //   Zero: no timeout.
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -59,7 +60,9 @@
     std::size_t max_unconsumed = 64U << 10U, max_unsent = 256U << 10U;
     Span idle_timeout = Span::seconds(30);
     bool always_read = false;
+    ReadPriority priority = ReadPriority::normal;
   };
+  static constexpr std::size_t kReadBytes = 16U << 10U;
   using OnData = std::function<std::size_t(std::string_view)>;
   using OnClose = std::function<void(const char* why)>;
 
@@ -70,10 +73,12 @@
   Connection& operator=(const Connection&) = delete;
 
   void send(std::string_view bytes);
-  void finish();                // closes once the send buffer is written
-  void half_close();            // ends sending after the send buffer; goes on reading
-  void limit(Limits limits);    // replaces the limits
-  void read_now();              // reads pending bytes now, not in the next turn
+  void finish();              // closes once the send buffer is written
+  void half_close();          // ends sending after the send buffer; goes on reading
+  void limit(Limits limits);  // replaces the limits
+  void set_priority(ReadPriority priority) { limits_.priority = priority; }
+  // Reads up to `max_bytes` of what has arrived now, ahead of other reads. Returns the number of bytes read.
+  std::size_t read_now(std::size_t max_bytes = kReadBytes);
   void close(const char* why);  // at once; calls on_close
   void abort();                 // at once, with a reset; does not call on_close
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
@@ -82,7 +87,8 @@
  private:
   Connection(Loop& loop, Fd fd, Limits limits, OnData on_data, OnClose on_close);
   void handle_events(std::uint32_t events);
-  void read_all();
+  void queue_read();
+  std::size_t read(std::size_t max_bytes);
   void deliver_input();
   void flush();
   void shutdown_send();
@@ -98,7 +104,7 @@
   std::string input_, output_;
   std::size_t sent_bytes_ = 0;
   bool finishing_ = false, half_closing_ = false, send_shut_down_ = false, reading_ = false,
-       reading_paused_ = false, read_scheduled_ = false;
+       reading_paused_ = false, read_queued_ = false;
   Loop::Timer idle_timer_;
 };
 
--- a/src/streams/stream_server.cpp
+++ b/src/streams/stream_server.cpp
@@ -10,6 +10,12 @@
 
 constexpr std::size_t kMaxDiscardedBytes = 256U << 10U;  // input drained from a closing peer, see refuse()
 const Span kRefusalDrainTime = Span::seconds(0.3);
+// Of the input that has arrived when the server shuts down: what is handled of one peer's, and of all. A
+// reset would discard what a peer hasn't read, so the rest is read too, but not handled.
+constexpr std::size_t kShutdownBytesPerPeer = 4096, kShutdownBytes = 1U << 20U;
+// A message is charged against its peer's rate as one, and one more for each of these bytes.
+constexpr double kBytesPerMessage = 512;
+constexpr double kMalformedCharge = 10;           // messages that a malformed one is charged as
 constexpr std::size_t kMaxReasons = 64;           // further reasons are counted as "other"
 constexpr std::size_t kMaxCollectorsPerZone = 2;  // the active one, and one whose close is not yet seen
 
@@ -49,7 +55,8 @@
   listener_.reset();
   std::vector<StreamId> all;
   for (const auto& [id, peer] : peers_) all.push_back(id);
-  for (const StreamId id : all) begin_close(id);
+  std::size_t handled_bytes = 0;
+  for (const StreamId id : all) handled_bytes += begin_close(id, handled_bytes < kShutdownBytes);
   if (peers_.empty()) finish();
 }
 
@@ -58,20 +65,25 @@
   if (const auto on_done = std::exchange(on_done_, {})) on_done();
 }
 
-// Reads pending input first, since closing a socket with unread input sends a reset, which discards output
-// that the peer has not read. Then half-closes the connection.
-void StreamServer::begin_close(StreamId id) {
+// Handles the beginning of the pending input, if `handle_input`, and half-closes the connection. Returns the
+// number of bytes handled. What follows is read and discarded, since closing a socket with unread input sends
+// a reset, which discards output that the peer has not read.
+std::size_t StreamServer::begin_close(StreamId id, bool handle_input) {
   const auto find = [&] { return peers_.find(id); };
   auto it = find();
-  if (it == peers_.end()) return;
+  if (it == peers_.end()) return 0;
   const auto connection = it->second.connection;
-  connection->read_now();
-  if (it = find(); it == peers_.end() || it->second.role == Role::closing) return;
-  if (it->second.role == Role::pending) return refuse(id, "shutting down");
+  const std::size_t handled = handle_input ? connection->read_now(kShutdownBytesPerPeer) : 0;
+  if (it = find(); it == peers_.end() || it->second.role == Role::closing) return handled;
+  if (it->second.role == Role::pending) {
+    refuse(id, "shutting down");
+    return handled;
+  }
   if (it->second.role == Role::collector) std::erase(collectors_[it->second.zone], id);
   it->second.role = Role::closing;
   pending_.insert(id);
   connection->half_close();
+  return handled;
 }
 
 void StreamServer::accept(net::Fd fd) {
@@ -91,7 +103,7 @@
   // The join has usually arrived already. Reading it at once keeps a flood of later connections from evicting
   // this one as the oldest pending connection.
   const auto connection = peer.connection;
-  connection->read_now();
+  connection->read_now(limits_.max_partial_bytes);
 }
 
 void StreamServer::evict_pending() {
@@ -136,6 +148,7 @@
   }
   auto line = prefix;
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  if (!pending && !charge_message(id, peer, end + 1)) return bytes.size();
   handle_message(id, peer, parse_message(line));
   return end + 1;
 }
@@ -150,8 +163,7 @@
   if (const auto* error = std::get_if<ProtocolError>(&message))
     return pending ? refuse(id, error->reason.c_str()) : protocol_error(id, error->reason.c_str());
   if (const auto* error = std::get_if<Malformed>(&message))
-    return pending ? refuse(id, "a message that lacks what it must have")
-                   : count_malformed(error->kind, error->field);
+    return pending ? refuse(id, "a message that lacks what it must have") : skip_malformed(peer, *error);
   if (const auto* joined = std::get_if<ProxyJoin>(&message)) {
     if (!pending) return count_malformed("joined", "joined already");
     if (shutting_down_) return refuse(id, "shutting down");
@@ -182,7 +194,27 @@
   peer.role = role;
   pending_.erase(id);
   loop_.cancel(peer.deadline);
-  peer.connection->limit({kMaxMessageBytes + (16U << 10U), limits_.max_unread_bytes, Span{}, true});
+  peer.excess_at = loop_.now();
+  peer.connection->limit(joined_limits());
+}
+
+net::Connection::Limits StreamServer::joined_limits() const {
+  return {kMaxMessageBytes + (16U << 10U), limits_.max_unread_bytes, Span{}, true};
+}
+
+bool StreamServer::charge_message(StreamId id, Peer& peer, std::size_t bytes) {
+  const double elapsed = (loop_.now() - peer.excess_at).seconds();
+  peer.excess_at = loop_.now();
+  peer.excess_messages = std::max(0.0, peer.excess_messages - elapsed * limits_.max_message_rate) + 1 +
+                         static_cast<double>(bytes) / kBytesPerMessage;
+  if (peer.excess_messages > kMaxExcessSeconds * limits_.max_message_rate) {
+    ++counts_.over_rate;
+    protocol_error(id, "over its rate");
+    return false;
+  }
+  const bool over_burst = peer.excess_messages > kBurstSeconds * limits_.max_message_rate;
+  peer.connection->set_priority(over_burst ? net::ReadPriority::low : net::ReadPriority::normal);
+  return true;
 }
 
 // Sends the reason and half-closes. Input is drained for a short time, since a reset would discard the
@@ -208,6 +240,11 @@
   if (stream) callbacks_.on_leave(id);
 }
 
+void StreamServer::skip_malformed(Peer& peer, const Malformed& error) {
+  peer.excess_messages += kMalformedCharge - 1;
+  count_malformed(error.kind, error.field);
+}
+
 void StreamServer::count_malformed(const std::string& kind, const std::string& reason) {
   count(counts_.malformed, kind + ": " + reason);
 }
--- a/src/streams/stream_server.hpp
+++ b/src/streams/stream_server.hpp
@@ -25,6 +25,9 @@
     Span join_timeout = Span::seconds(1.2);      // the protocol grants 1 s; the rest absorbs load spikes
     std::size_t max_partial_bytes = 4096;        // a partial line of a pending connection; joins are shorter
     std::size_t max_unread_bytes = 128U << 10U;  // unread output of a peer, the platform's own limit
+    // Messages a second that a joined peer may send for long. Beyond it its input is read after that of
+    // others; at kMaxExcessSeconds ahead of this rate it is cut.
+    double max_message_rate = 10'000;
   };
   // Return null if the message was accepted, else the reason for refusing or skipping it.
   struct Callbacks {
@@ -36,6 +39,7 @@
   struct Counts {
     std::uint64_t accepted = 0, refused = 0, joins = 0, protocol_errors = 0, slow_consumers = 0, pings = 0;
     std::uint64_t reports = 0, bytes_sent = 0, messages_sent = 0;
+    std::uint64_t over_rate = 0;                     // connections closed for this reason
     std::map<std::string, std::uint64_t> malformed;  // by kind and reason
     std::map<std::string, std::uint64_t> refusals;   // by reason
   };
@@ -61,6 +65,8 @@
 
  private:
   static constexpr std::size_t kMinPending = 8;
+  static constexpr double kBurstSeconds = 2;       // of max_message_rate, before a peer is read later
+  static constexpr double kMaxExcessSeconds = 10;  // of max_message_rate, before a peer is cut
   enum class Role { pending, closing, stream, collector };
   struct Peer {
     Role role = Role::pending;
@@ -70,18 +76,25 @@
     std::size_t checked_bytes = 0;  // of the partial line, which passed is_invalid_prefix()
     bool has_valid_prefix = false;  // has sent a valid prefix of a message
     std::string zone;               // of a collector
+    // Messages sent ahead of max_message_rate, as of `excess_at`.
+    double excess_messages = 0;
+    Instant excess_at;
   };
   void accept(net::Fd fd);
   std::size_t on_data(StreamId id, std::string_view bytes);
   void handle_message(StreamId id, Peer& peer, const Message& message);
+  // Returns false if the peer has been cut for its rate.
+  bool charge_message(StreamId id, Peer& peer, std::size_t bytes);
   void complete_join(StreamId id, Peer& peer, Role role);
+  [[nodiscard]] net::Connection::Limits joined_limits() const;
   void refuse(StreamId id, const char* reason);
   void protocol_error(StreamId id, const char* reason);
+  void skip_malformed(Peer& peer, const Malformed& error);
   void count_malformed(const std::string& kind, const std::string& reason);
   void on_closed(StreamId id, const char* reason);
   void drop(StreamId id);
   void evict_pending();
-  void begin_close(StreamId id);
+  std::size_t begin_close(StreamId id, bool handle_input);
   void finish();
   [[nodiscard]] std::size_t joined_count() const { return peers_.size() - pending_.size(); }
   [[nodiscard]] std::size_t pending_capacity() const;  // current limit of pending connections
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -64,6 +64,39 @@
   EXPECT_EQ(seen, "0ab");
 }
 
+// Reads of peers that send much must delay neither timers nor reads of a higher priority by more than a turn.
+TEST(Loop, ReadsByPriorityAndInABoundedTurn) {
+  constexpr std::size_t kRead = 16U << 10U;
+  constexpr int kReadsPerTurn = 8;
+  Loop loop;
+  std::string seen;
+  std::function<std::size_t()> normal = [&] {
+    seen += 'n';
+    loop.queue_read(ReadPriority::normal, normal);
+    return kRead;
+  };
+  loop.queue_read(ReadPriority::low, [&] {
+    seen += 'l';
+    return kRead;
+  });
+  loop.queue_read(ReadPriority::normal, normal);
+  loop.after(Span{}, [&] {
+    seen += 't';
+    loop.queue_read(ReadPriority::high, [&] {
+      seen += 'h';
+      loop.stop();
+      return kRead;
+    });
+  });
+  loop.run();
+  EXPECT_EQ(seen, "th");
+  seen.clear();
+  loop.call_soon([&] { loop.call_soon([&] { loop.stop(); }); });  // at the end of the second turn
+  loop.run();
+  // Each turn runs the oldest read of each priority, then others up to its limit.
+  EXPECT_EQ(seen, "nl" + std::string(2 * kReadsPerTurn - 2, 'n'));
+}
+
 TEST(Connection, ClosesWhenThePeerSendsTooMuchWithoutACompleteMessage) {
   ConnectionFixture fixture{{1000, 1000, Span::seconds(5)}, [](std::string_view) { return std::size_t{0}; }};
   ASSERT_TRUE(fixture.client_socket);
--- a/tests/streams/stream_server_test.cpp
+++ b/tests/streams/stream_server_test.cpp
@@ -338,6 +338,65 @@
   EXPECT_TRUE(done);
 }
 
+std::string repeated(const std::string& line, std::size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) text += line;
+  return text;
+}
+const std::string kUsage = "usage sidecar=1 kind=x n=1 bad=0 window=1\r\n";
+
+// A collector's reports stay valid after its end.
+TEST(StreamServer, ReportsOfACollectorThatHasClosedAreHandled) {
+  Fixture fixture;
+  Client collector{"collector az=a\r\n"};
+  fixture.run();
+  collector.send("heard az=a host=s n=1 bad=0 avg=1 window=9\r\n");
+  collector.close();
+  fixture.run();
+  EXPECT_EQ(fixture.backend_stats, 1);
+}
+
+// Guards against a turn of the event loop that lasts until all input of all peers has been handled.
+TEST(StreamServer, ATurnHandlesABoundedPartOfTheInput) {
+  Fixture fixture;
+  std::vector<std::unique_ptr<Client>> streams;
+  for (int proxy = 0; proxy < 20; ++proxy) streams.push_back(std::make_unique<Client>(joined(proxy)));
+  fixture.run();
+  const std::string report =
+      "usage sidecar=1 kind=x n=1 bad=0 window=1 pad=" + std::string(1000, 'x') + "\r\n";
+  for (const auto& stream : streams) stream->send(repeated(report, 100'000));
+  const auto turns_before = fixture.loop.turns();
+  const auto reports_before = fixture.server->counts().reports;
+  fixture.run();
+  const auto turns = fixture.loop.turns() - turns_before;
+  const auto reports = fixture.server->counts().reports - reports_before;
+  EXPECT_GT(reports * report.size(), 20 * 100'000U / 2);
+  constexpr std::size_t kBytesPerTurn = (128U << 10U) + 3 * net::Connection::kReadBytes;
+  EXPECT_LE(reports * report.size(), turns * kBytesPerTurn);
+}
+
+// A peer that sends more than its rate for long is cut; one that catches up after a pause, or keeps within
+// its rate, is not. Malformed messages count as several.
+TEST(StreamServer, APeerFarOverItsRateIsCut) {
+  StreamServer::Limits limits;
+  limits.max_message_rate = 100;
+  Fixture fixture{limits};
+  Client sound{joined(1)}, malformed{joined(2)}, steady{joined(3)};
+  fixture.run();
+  constexpr int kTenSeconds = 1000;  // messages at the rate above
+  for (int k = 0; k < kTenSeconds / 2; ++k) sound.send(kUsage);
+  steady.send("usage sidecar=3 kind=x n=1 bad=0 window=1\r\n");
+  fixture.run();
+  EXPECT_TRUE(fixture.left.empty());
+  EXPECT_EQ(fixture.arrived, kTenSeconds / 2 + 1);
+  for (int k = 0; k < kTenSeconds; ++k) sound.send(kUsage);
+  for (int k = 0; k < kTenSeconds / 5; ++k) malformed.send("usage sidecar=x\r\n");
+  fixture.run();
+  EXPECT_EQ(fixture.left.size(), 2U);
+  EXPECT_EQ(fixture.server->counts().over_rate, 2U);
+  EXPECT_FALSE(steady.closed());
+}
+
 TEST(StreamServer, ProxyThatDoesNotReadIsClosedAtTheOutputLimit) {
   StreamServer::Limits limits;
   limits.max_unread_bytes = 64U << 10U;
