--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -256,7 +256,9 @@
   const auto self = shared_from_this();
   if ((events & EPOLLOUT) != 0) flush();
   if (!fd_) return;
-  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) queue_read();
+  const bool peer_closed = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  if (peer_closed && limits_.discard_after_close) return close("closed by the peer");
+  if (peer_closed || (events & EPOLLIN) != 0) queue_read();
 }
 
 void Connection::queue_read() {
@@ -271,7 +273,7 @@
 }
 
 // Reads until nothing is left or `max_bytes` are read, and queues itself for the rest. Returns the number of
-// bytes read.
+// bytes read. Input is delivered after the read that finds the end, so that peer_has_closed() is known then.
 std::size_t Connection::read(std::size_t max_bytes) {
   if (!fd_ || reading_) return 0;
   if (!limits_.always_read && unsent() > limits_.max_unsent / 2) {
@@ -282,7 +284,7 @@
   std::array<char, kReadBytes> chunk;
   std::size_t bytes = 0;
   const char* end = nullptr;
-  bool would_block = false;
+  bool would_block = false, reset = false;
   while (bytes < max_bytes && end == nullptr && !would_block) {
     const ssize_t n = ::read(fd_.get(), chunk.data(), std::min(chunk.size(), max_bytes - bytes));
     if (n > 0) {
@@ -294,9 +296,12 @@
       would_block = true;
     } else if (errno != EINTR) {
       end = "reset";
+      reset = true;
     }
   }
-  if (bytes > 0) deliver_input();
+  peer_has_closed_ = end != nullptr;
+  const bool discarded = reset || (peer_has_closed_ && limits_.discard_after_close);
+  if (bytes > 0 && !discarded) deliver_input();
   if (fd_) flush();
   if (fd_ && end != nullptr) close(end);
   if (fd_ && !would_block) queue_read();
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -52,6 +52,7 @@
 // - Reading pauses while the send buffer is over half of `max_unsent`; it closes beyond `max_unsent`
 //   ("not reading"). With `always_read` reading never pauses, and beyond `max_unsent` it is reset.
 // - Input is read in pieces of kReadBytes by the loop's queue of reads, in the order of `priority`.
+// - With `discard_after_close`, input that is still unread when the peer's close is seen is discarded.
 // - It closes after `idle_timeout` without progress ("idle"); an incomplete message is no progress.
 //   Zero: no timeout.
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -61,6 +62,7 @@
     Span idle_timeout = Span::seconds(30);
     bool always_read = false;
     ReadPriority priority = ReadPriority::normal;
+    bool discard_after_close = false;
   };
   static constexpr std::size_t kReadBytes = 16U << 10U;
   using OnData = std::function<std::size_t(std::string_view)>;
@@ -79,6 +81,8 @@
   void set_priority(ReadPriority priority) { limits_.priority = priority; }
   // Reads up to `max_bytes` of what has arrived now, ahead of other reads. Returns the number of bytes read.
   std::size_t read_now(std::size_t max_bytes = kReadBytes);
+  // The peer has closed its side, so no more input follows that which is being delivered.
+  [[nodiscard]] bool peer_has_closed() const { return peer_has_closed_; }
   void close(const char* why);  // at once; calls on_close
   void abort();                 // at once, with a reset; does not call on_close
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
@@ -104,7 +108,7 @@
   std::string input_, output_;
   std::size_t sent_bytes_ = 0;
   bool finishing_ = false, half_closing_ = false, send_shut_down_ = false, reading_ = false,
-       reading_paused_ = false, read_queued_ = false;
+       reading_paused_ = false, read_queued_ = false, peer_has_closed_ = false;
   Loop::Timer idle_timer_;
 };
 
--- a/src/streams/stream_server.cpp
+++ b/src/streams/stream_server.cpp
@@ -167,6 +167,8 @@
   if (const auto* joined = std::get_if<ProxyJoin>(&message)) {
     if (!pending) return count_malformed("joined", "joined already");
     if (shutting_down_) return refuse(id, "shutting down");
+    // Joining a proxy that is gone would only order tables for it, and end the stream of its successor.
+    if (peer.connection->peer_has_closed()) return refuse(id, "closed already");
     const auto result = callbacks_.on_join(id, *joined);
     if (result.refusal != nullptr) return refuse(id, result.refusal);
     if (result.replaced_stream) close_replaced(*result.replaced_stream);
@@ -195,11 +197,15 @@
   pending_.erase(id);
   loop_.cancel(peer.deadline);
   peer.excess_at = loop_.now();
-  peer.connection->limit(joined_limits());
+  peer.connection->limit(joined_limits(role));
 }
 
-net::Connection::Limits StreamServer::joined_limits() const {
-  return {kMaxMessageBytes + (16U << 10U), limits_.max_unread_bytes, Span{}, true};
+// The end of a proxy's stream is its leaving, so what it left unread is of no use. A collector's reports stay
+// valid after its end.
+net::Connection::Limits StreamServer::joined_limits(Role role) const {
+  net::Connection::Limits limits{kMaxMessageBytes + (16U << 10U), limits_.max_unread_bytes, Span{}, true};
+  limits.discard_after_close = role == Role::stream;
+  return limits;
 }
 
 bool StreamServer::charge_message(StreamId id, Peer& peer, std::size_t bytes) {
--- a/src/streams/stream_server.hpp
+++ b/src/streams/stream_server.hpp
@@ -86,7 +86,7 @@
   // Returns false if the peer has been cut for its rate.
   bool charge_message(StreamId id, Peer& peer, std::size_t bytes);
   void complete_join(StreamId id, Peer& peer, Role role);
-  [[nodiscard]] net::Connection::Limits joined_limits() const;
+  [[nodiscard]] net::Connection::Limits joined_limits(Role role) const;
   void refuse(StreamId id, const char* reason);
   void protocol_error(StreamId id, const char* reason);
   void skip_malformed(Peer& peer, const Malformed& error);
--- a/tests/app/coordinator_load_test.cpp
+++ b/tests/app/coordinator_load_test.cpp
@@ -127,5 +127,23 @@
   }
 }
 
+// Guards against an exit that waits until the input of clients that are gone has been handled.
+TEST_F(CoordinatorLoad, ExitsInTimeAfterManyClientsClosedWithInputUnread) {
+  start();
+  std::string lines;
+  while (lines.size() < 65536) lines += "usage sidecar=x kind=lookup n=1 bad=0 window=1000\r\n";
+  {
+    const Clients clients{200};
+    clients.join_all();
+    const auto end = std::chrono::steady_clock::now() + 2s;  // the sockets' buffers grow meanwhile
+    while (std::chrono::steady_clock::now() < end)
+      for (std::size_t k = 0; k < clients.size(); ++k) clients.send(k, lines);
+  }
+  const auto before = std::chrono::steady_clock::now();
+  process->signal(SIGTERM);
+  EXPECT_EQ(process->wait(), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - before, 700ms);
+}
+
 }  // namespace
 }  // namespace gorsemount::app
--- a/tests/streams/stream_server_test.cpp
+++ b/tests/streams/stream_server_test.cpp
@@ -345,6 +345,41 @@
 }
 const std::string kUsage = "usage sidecar=1 kind=x n=1 bad=0 window=1\r\n";
 
+// Guards against work for input whose sender is gone: a stream's end is its leaving, so what it left unread
+// is neither handled nor waited for.
+TEST(StreamServer, InputThatAClosedStreamLeftUnreadIsNotHandled) {
+  for (const bool reset : {false, true}) {
+    Fixture fixture;
+    Client stream{joined(1)};
+    fixture.run();
+    stream.send(repeated(kUsage, 50'000));
+    reset ? stream.close_with_reset() : stream.close();
+    fixture.run();
+    EXPECT_EQ(fixture.left.size(), 1U);
+    EXPECT_EQ(fixture.arrived, 0);
+  }
+}
+
+// Guards against a join of a proxy that has left, which would end the live stream of its successor.
+TEST(StreamServer, AJoinWhoseSenderHasClosedIsNotTaken) {
+  for (const bool reset : {false, true}) {
+    Fixture fixture;
+    Client live{joined(1)};
+    fixture.run();
+    const StreamId live_stream = fixture.stream_by_proxy.at(1);
+    Client gone{joined(1) + kUsage};
+    reset ? gone.close_with_reset() : gone.close();
+    fixture.run();
+    EXPECT_EQ(fixture.stream_by_proxy.at(1), live_stream);
+    EXPECT_EQ(fixture.arrived, 0);
+    EXPECT_TRUE(fixture.left.empty());
+    EXPECT_FALSE(live.closed());
+    live.send(kUsage);
+    fixture.run();
+    EXPECT_EQ(fixture.arrived, 1);
+  }
+}
+
 // A collector's reports stay valid after its end.
 TEST(StreamServer, ReportsOfACollectorThatHasClosedAreHandled) {
   Fixture fixture;
