--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -46,6 +46,13 @@
 }
 constexpr std::size_t kMaxPendingConnections = 512;
 
+// The part of the process's memory that buffers of connections may take. The rest is for the decisions, the
+// tables and what the allocator keeps.
+constexpr std::size_t kBufferMemoryDivisor = 4;
+std::size_t max_buffer_bytes(const CoordinatorConfig& config) {
+  return (config.memory_mb << 20U) / kBufferMemoryDivisor;
+}
+
 // A peer may send this many times the reports that the settings let through a second: a collector that was
 // held up sends those of several seconds at once.
 constexpr double kPeerRateFactor = 4;
@@ -78,6 +85,7 @@
                {[this](discovery::BackendList list) { on_backend_list(list); },
                 [this](const std::string& why) { on_watch_failure(why); }}},
         stream_server_{loop_, config_.listen, stream_limits(config_), callbacks()} {
+    loop_.buffers().set_limit(max_buffer_bytes(config_));
     loop_.on_signal(SIGTERM, [this] { stop("SIGTERM"); });
     loop_.on_signal(SIGINT, [this] { stop("SIGINT"); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -93,7 +101,8 @@
          {"listen", config_.listen.text()},
          {"discovery", config_.discovery.text()},
          {"known", std::to_string(config_.initial_backends ? config_.initial_backends->rows.size() : 0)},
-         {"peers_most", std::to_string(max_stream_connections(config_))}});
+         {"peers_most", std::to_string(max_stream_connections(config_))},
+         {"buffer_limit", std::to_string(loop_.buffers().limit())}});
     schedule_state_log();
   }
   void run() { loop_.run(); }
@@ -180,6 +189,7 @@
     note_change(new_config.settings_text != config_.settings_text, "settings");
     note_change(new_config.listen != config_.listen, "listen");
     note_change(new_config.max_sockets != config_.max_sockets, "limits.sockets");
+    note_change(new_config.memory_mb != config_.memory_mb, "limits.memory_mb");
     log_.event(log::Level::info, "reloaded",
                {{"discovery", new_config.discovery.text()}, {"needs_a_restart", restart_fields}});
     config_.discovery = new_config.discovery;
@@ -233,6 +243,8 @@
         {"protocol_errors", std::to_string(counts.protocol_errors)},
         {"not_reading", std::to_string(counts.slow_consumers)},
         {"over_rate", std::to_string(counts.over_rate)},
+        {"over_memory", std::to_string(counts.over_memory)},
+        {"buffer_bytes", std::to_string(loop_.buffers().held())},
         {"malformed", format_counts(counts.malformed)},
         {"refused", format_counts(counts.refusals)},
         {"turns", std::to_string(loop_.turns())},
--- a/src/app/coordinator_config.cpp
+++ b/src/app/coordinator_config.cpp
@@ -43,8 +43,11 @@
   config.listen = endpoint(fields, "listen", "GW_LISTEN", environment);
   config.discovery = endpoint(fields, "discovery", "GW_DISCOVERY", environment);
   config.seed = read_seed(fields);
-  if (const auto limits = fields.optional_object("limits"); limits && limits->has("sockets"))
-    config.max_sockets = limits->unsigned_integer("sockets", 1U << 20U);
+  if (const auto limits = fields.optional_object("limits")) {
+    if (limits->has("sockets")) config.max_sockets = limits->unsigned_integer("sockets", 1U << 20U);
+    if (limits->has("memory_mb")) config.memory_mb = limits->unsigned_integer("memory_mb", 1U << 20U);
+    if (config.memory_mb == 0) limits->fail("memory_mb", "is 0");
+  }
   if (fields.has("known"))
     config.initial_backends = discovery::read_backend_list(value.at("known"), "config.known");
   const Fields settings = fields.object("settings");
--- a/src/app/coordinator_config.hpp
+++ b/src/app/coordinator_config.hpp
@@ -18,6 +18,7 @@
   Endpoint listen, discovery;
   std::uint64_t seed = 0;
   std::size_t max_sockets = 1024;
+  std::size_t memory_mb = 256;  // MiB, of the whole process
   std::optional<discovery::BackendList> initial_backends;
   Settings settings;
   IdNames id_names;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/time.hpp"
+#include "net/buffer_account.hpp"
 #include "net/fd.hpp"
 
 namespace gorsemount::net {
@@ -63,6 +64,8 @@
   [[nodiscard]] Span take_longest_turn() { return std::exchange(longest_turn_, Span{}); }
   // Longest time since the last call that a read waited for its turn.
   [[nodiscard]] Span take_longest_read_wait() { return std::exchange(longest_read_wait_, Span{}); }
+  // Input and output buffers of all connections on this loop.
+  [[nodiscard]] BufferAccount& buffers() { return buffers_; }
 
  private:
   static constexpr std::size_t kReadBytesPerTurn = 128U << 10U;
@@ -77,6 +80,7 @@
   void run_reads();
   std::size_t run_oldest_read(std::deque<WaitingRead>& queue);
 
+  BufferAccount buffers_;
   Fd epoll_;
   Instant now_;
   bool stopped_ = false;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -82,6 +82,12 @@
 constexpr int kBatchesPerTurn = 16;   // batches before yielding to the loop: about 1 ms of responses
 constexpr int kListenBacklog = 4096;  // a whole fleet may connect at once
 
+// Frees what a long message has left behind.
+void release_unused(std::string& buffer) {
+  constexpr std::size_t kKeptCapacity = 64U << 10U;  // bytes
+  if (buffer.capacity() > kKeptCapacity && buffer.size() < buffer.capacity() / 4) buffer.shrink_to_fit();
+}
+
 }  // namespace
 
 Fd udp_socket(const Endpoint& at) {
@@ -199,6 +205,7 @@
   if (!fd_) return;
   loop_.cancel(idle_timer_);
   loop_.unwatch(fd_.get());
+  loop_.buffers().remove(*this);
   fd_.reset();
 }
 
@@ -230,6 +237,7 @@
 std::size_t Connection::read_now(std::size_t max_bytes) {
   const auto self = shared_from_this();
   const std::size_t bytes = read(max_bytes);
+  update_account();
   return bytes;
 }
 
@@ -268,6 +276,7 @@
     if (!strong) return 0;
     strong->read_queued_ = false;
     const std::size_t bytes = strong->read(kReadBytes);
+    strong->update_account();
     return bytes;
   });
 }
@@ -318,19 +327,26 @@
   }
   if (!fd_) return;
   input_.erase(0, used);
+  release_unused(input_);
   if (used > 0) restart_idle_timer();
   if (input_.size() > limits_.max_unconsumed) close("too much");
 }
 
+void Connection::update_account() {
+  if (fd_) loop_.buffers().update(*this, input_.capacity() + output_.capacity());
+}
+
 void Connection::send(std::string_view bytes) {
   if (!fd_ || finishing_ || half_closing_) return;
   if (unsent() + bytes.size() > limits_.max_unsent) {
     if (limits_.always_read) reset_on_close();
     return close("not reading");
   }
+  const auto self = weak_from_this().lock();
   const bool idle = unsent() == 0;
   output_.append(bytes);
   if (idle && !reading_) flush();  // while reading, responses are collected and written together
+  update_account();
 }
 
 void Connection::flush() {
@@ -348,6 +364,7 @@
   if (!fd_) return;
   if (unsent() == 0) {
     output_.clear(), sent_bytes_ = 0;
+    release_unused(output_);
     if (finishing_) return close("finished");
     if (half_closing_) shutdown_send();
   } else if (sent_bytes_ > 65536) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -53,9 +53,10 @@
 //   ("not reading"). With `always_read` reading never pauses, and beyond `max_unsent` it is reset.
 // - Input is read in pieces of kReadBytes by the loop's queue of reads, in the order of `priority`.
 // - With `discard_after_close`, input that is still unread when the peer's close is seen is discarded.
+// - The loop's account of buffers may close it ("over the memory limit").
 // - It closes after `idle_timeout` without progress ("idle"); an incomplete message is no progress.
 //   Zero: no timeout.
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection : public std::enable_shared_from_this<Connection>, private BufferAccount::Holder {
  public:
   struct Limits {
     std::size_t max_unconsumed = 64U << 10U, max_unsent = 256U << 10U;
@@ -70,7 +71,7 @@
 
   [[nodiscard]] static std::shared_ptr<Connection> make(Loop& loop, Fd fd, Limits limits, OnData on_data,
                                                         OnClose on_close);
-  ~Connection();
+  ~Connection() override;
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -94,6 +95,10 @@
   void queue_read();
   std::size_t read(std::size_t max_bytes);
   void deliver_input();
+  void update_account();
+  [[nodiscard]] std::size_t unfinished_input_bytes() const override { return input_.size(); }
+  [[nodiscard]] std::size_t unread_output_bytes() const override { return unsent(); }
+  void close_over_limit() override { close("over the memory limit"); }
   void flush();
   void shutdown_send();
   void restart_idle_timer();
--- a/src/runtime_api/command_server.cpp
+++ b/src/runtime_api/command_server.cpp
@@ -4,6 +4,12 @@
 
 namespace gorsemount::runtime_api {
 
+namespace {
+
+constexpr std::size_t kMaxPausedBytes = 1U << 20U;  // of a peer's input, held back while paused
+
+}  // namespace
+
 struct CommandServer::Peer {
   std::shared_ptr<net::Connection> connection;
   bool prompt = false;
@@ -117,7 +123,11 @@
   if (it == peers_.end()) return bytes.size();
   const auto peer = it->second;
   if (paused_ || peer->paused) {
-    peer->buffered += bytes;
+    if (peer->buffered.size() + bytes.size() > kMaxPausedBytes) {
+      peer->connection->close("too much");
+    } else {
+      peer->buffered += bytes;
+    }
     return bytes.size();
   }
   const auto end = bytes.find('\n');
--- a/src/streams/stream_server.cpp
+++ b/src/streams/stream_server.cpp
@@ -260,6 +260,7 @@
   if (it == peers_.end()) return;
   const bool stream = it->second.role == Role::stream;
   if (std::string_view{reason} == "not reading") ++counts_.slow_consumers;
+  if (std::string_view{reason} == "over the memory limit") ++counts_.over_memory;
   drop(id);
   if (stream) callbacks_.on_leave(id);
 }
--- a/src/streams/stream_server.hpp
+++ b/src/streams/stream_server.hpp
@@ -39,7 +39,7 @@
   struct Counts {
     std::uint64_t accepted = 0, refused = 0, joins = 0, protocol_errors = 0, slow_consumers = 0, pings = 0;
     std::uint64_t reports = 0, bytes_sent = 0, messages_sent = 0;
-    std::uint64_t over_rate = 0;                     // connections closed for this reason
+    std::uint64_t over_rate = 0, over_memory = 0;    // connections closed for one of these reasons
     std::map<std::string, std::uint64_t> malformed;  // by kind and reason
     std::map<std::string, std::uint64_t> refusals;   // by reason
   };
--- a/tests/app/coordinator_load_test.cpp
+++ b/tests/app/coordinator_load_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr int kFleetProxies = 400;
 constexpr int kHonestProxy = 399;
+constexpr std::size_t kMemoryMib = 64;
 
 std::string load_config() {
   auto text = config("127.7.7.11:17032");
@@ -76,6 +77,37 @@
   }
 };
 
+// Guards against a process that passes its memory limit: each connection stayed within the longest message,
+// but nothing bounded all of them together.
+TEST_F(CoordinatorLoad, UnfinishedMessagesOfManyClientsStayWithinTheMemoryLimit) {
+  start();
+  constexpr std::size_t kHalfMessage = 1'000'000;
+  std::string short_fields = "usage ";
+  while (short_fields.size() < kHalfMessage) short_fields += "a=1 ";
+  const std::vector<std::string> texts{"usage sidecar=" + std::string(kHalfMessage, '1'), short_fields,
+                                       "usage kind=" + std::string(kHalfMessage, 'x')};
+  const Clients clients{300};
+  clients.join_all();
+  ProxyStream joining;  // in good order, but slow
+  joining.send("joined sidecar=398 az=a sh");
+  std::vector<std::size_t> sent(clients.size());
+  const auto end = std::chrono::steady_clock::now() + 1s;
+  while (std::chrono::steady_clock::now() < end) {
+    clients.discard_received();
+    for (std::size_t k = 0; k < clients.size(); ++k) {
+      const std::string& text = texts[k % texts.size()];
+      sent[k] += clients.send(k, std::string_view{text}.substr(std::min(sent[k], text.size())));
+    }
+    honest->send("usage sidecar=399 kind=lookup n=1 bad=0 window=1000\r\n");
+    std::this_thread::sleep_for(5ms);
+    if (std::chrono::steady_clock::now() > end - 500ms) joining.send("are=1 standing=1\r\n");
+  }
+  honest->send("ping\r\n");
+  EXPECT_TRUE(honest->receives("pong\r\n"));
+  EXPECT_TRUE(joining.receives("s-2:"));
+  EXPECT_LT(process->peak_memory_kib(), kMemoryMib << 10U);
+}
+
 // What many clients send at full speed, one line each.
 struct Flood {
   const char* name;
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -97,6 +97,53 @@
   EXPECT_EQ(seen, "nl" + std::string(2 * kReadsPerTurn - 2, 'n'));
 }
 
+struct FakeHolder : BufferAccount::Holder {
+  FakeHolder(BufferAccount& in, std::size_t input, std::size_t output)
+      : account{in}, input_bytes{input}, output_bytes{output} {}
+  ~FakeHolder() override { account.remove(*this); }
+  [[nodiscard]] std::size_t unfinished_input_bytes() const override { return input_bytes; }
+  [[nodiscard]] std::size_t unread_output_bytes() const override { return output_bytes; }
+  void close_over_limit() override {
+    is_closed = true;
+    account.remove(*this);
+  }
+  BufferAccount& account;
+  std::size_t input_bytes, output_bytes;
+  bool is_closed = false;
+};
+
+// The order in which connections are closed when the buffers pass their limit.
+TEST(BufferAccount, ClosesTheLongestUnfinishedMessageThenTheMostUnreadOutput) {
+  BufferAccount account;
+  account.set_limit(100'000);
+  FakeHolder longest{account, 40'000, 0}, long_message{account, 30'000, 0}, short_message{account, 4000, 0},
+      not_reading{account, 0, 25'000}, reading{account, 0, 5000};
+  for (FakeHolder* holder : {&longest, &long_message, &not_reading}) account.update(*holder, 30'000);
+  EXPECT_EQ(account.closed_connections(), 0U);
+  account.update(short_message, 4000);
+  account.update(reading, 10'000);
+  EXPECT_TRUE(longest.is_closed);
+  EXPECT_FALSE(long_message.is_closed);
+  account.update(reading, 60'000);
+  EXPECT_TRUE(long_message.is_closed);
+  EXPECT_FALSE(not_reading.is_closed);
+  account.update(reading, 80'000);
+  EXPECT_TRUE(not_reading.is_closed);
+  EXPECT_FALSE(reading.is_closed);
+  EXPECT_FALSE(short_message.is_closed);
+  EXPECT_EQ(account.held(), 84'000U);
+}
+
+// Without anything to close, the account goes on above its limit.
+TEST(BufferAccount, KeepsWholeMessagesAboveTheLimit) {
+  BufferAccount account;
+  account.set_limit(1000);
+  FakeHolder holder{account, 100, 0};
+  account.update(holder, 5000);
+  EXPECT_FALSE(holder.is_closed);
+  EXPECT_EQ(account.held(), 5000U);
+}
+
 TEST(Connection, ClosesWhenThePeerSendsTooMuchWithoutACompleteMessage) {
   ConnectionFixture fixture{{1000, 1000, Span::seconds(5)}, [](std::string_view) { return std::size_t{0}; }};
   ASSERT_TRUE(fixture.client_socket);
--- a/tests/streams/stream_server_test.cpp
+++ b/tests/streams/stream_server_test.cpp
@@ -432,6 +432,48 @@
   EXPECT_FALSE(steady.closed());
 }
 
+// Guards against memory that many unfinished messages take together, each below the longest message.
+TEST(StreamServer, UnfinishedMessagesTogetherStayWithinTheBufferLimit) {
+  constexpr std::size_t kLimit = 4U << 20U, kHalfMessage = 300'000;
+  Fixture fixture;
+  fixture.loop.buffers().set_limit(kLimit);
+  Client whole{joined(99)}, joining{"joined sidecar=98 az=a sh"};
+  std::vector<std::unique_ptr<Client>> unfinished;
+  for (int proxy = 0; proxy < 40; ++proxy) {
+    unfinished.push_back(std::make_unique<Client>(joined(proxy)));
+    fixture.run(0.002);
+    const std::string text = "usage kind=" + std::string(kHalfMessage, 'x');
+    for (std::size_t sent = 0; sent < text.size(); sent += 30'000) {
+      unfinished.back()->send(text.substr(sent, 30'000));
+      whole.send("usage sidecar=99 kind=x n=1 bad=0 window=1\r\n");
+      fixture.run(0.001);
+      ASSERT_LE(fixture.loop.buffers().held(), kLimit);
+    }
+  }
+  EXPECT_GT(fixture.server->counts().over_memory, 20U);
+  EXPECT_EQ(fixture.left.size(), fixture.server->counts().over_memory);
+  joining.send("are=1 standing=1\r\n");
+  fixture.run();
+  EXPECT_TRUE(fixture.stream_by_proxy.contains(98));
+  EXPECT_FALSE(whole.closed());
+  EXPECT_EQ(fixture.arrived, 40 * 11);
+}
+
+// Capacity that a long message leaves behind counts as well, so it is given back.
+TEST(StreamServer, ALongMessageLeavesNoBufferBehind) {
+  Fixture fixture;
+  Client stream{joined(1)};
+  fixture.run();
+  const std::string text = "usage kind=" + std::string(900'000, 'x') + "\r\n";
+  for (std::size_t sent = 0; sent < text.size(); sent += 30'000) {
+    stream.send(text.substr(sent, 30'000));
+    fixture.run(0.002);
+  }
+  EXPECT_EQ(fixture.server->counts().malformed.size(), 1U);
+  EXPECT_LT(fixture.loop.buffers().held(), 100'000U);
+  EXPECT_FALSE(stream.closed());
+}
+
 TEST(StreamServer, ProxyThatDoesNotReadIsClosedAtTheOutputLimit) {
   StreamServer::Limits limits;
   limits.max_unread_bytes = 64U << 10U;
