--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -82,7 +82,7 @@
                config_.discovery,
                {},
                config_.seed,
-               {[this](discovery::BackendList list) { on_backend_list(list); },
+               {[this](const discovery::BackendList& list) { on_backend_list(list); },
                 [this](const std::string& why) { on_watch_failure(why); }}},
         stream_server_{loop_, config_.listen, stream_limits(config_), callbacks()} {
     loop_.buffers().set_limit(max_buffer_bytes(config_));
--- a/src/app/day.cpp
+++ b/src/app/day.cpp
@@ -44,6 +44,7 @@
  public:
   ChildProcess(std::vector<std::string> command, const std::string& error_file) {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (auto& word : command) arguments.push_back(word.data());
     arguments.push_back(nullptr);
     const pid_t parent = getpid();
@@ -98,7 +99,7 @@
     std::ofstream{folder_ + "/roster.hcl"} << standins::roster_text(standins::roster_of(day_, places_));
     for (std::size_t number = 1; number <= day_.coordinators.size(); ++number) {
       std::string text = standins::coordinator_settings(day_, places_, number, folder_);
-      for (const auto& change : changes) text = lab::apply_override(std::move(text), change);
+      for (const auto& change : changes) text = lab::apply_override(text, change);
       std::ofstream{settings_file(number)} << text;
     }
     if (day_.shared)
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,7 @@
 // Entry point of `gorsemount`: dispatches to the subcommands.
 #include <CLI/CLI.hpp>
+#include <cstdio>
+#include <exception>
 #include <string_view>
 
 #ifdef GORSEMOUNT_ALL_COMMANDS
@@ -8,7 +10,9 @@
 #include "app/coordinator.hpp"
 #include "app/exit_codes.hpp"
 
-int main(int argc, char** argv) {
+namespace {
+
+int run(int argc, char** argv) {
   using namespace gorsemount::app;
   if (argc > 1 && std::string_view{argv[1]} == "coordinator") block_signals();
   CLI::App app{"gorsemount directs forwarders and DNS clients to backends", "gorsemount"};
@@ -30,3 +34,14 @@
   }
   return exit_code;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "gorsemount: %s\n", error.what());
+    return gorsemount::app::kExitFailure;
+  }
+}
--- a/src/app/simulate.cpp
+++ b/src/app/simulate.cpp
@@ -109,7 +109,7 @@
       outcomes[index] = lab::Simulation{day, std::move(settings)}.run();
       const std::lock_guard lock{printing};
       for (const auto& rule : outcomes[index]->broken_rules(day))
-        std::printf("  BROKEN  seed %llu: %s\n", static_cast<unsigned long long>(options.first_seed + index),
+        std::printf("  BROKEN  seed %llu: %s\n", static_cast<unsigned long long>(options.first_seed) + index,
                     rule.c_str());
       std::fflush(stdout);
     }
--- a/src/cluster/cluster.hpp
+++ b/src/cluster/cluster.hpp
@@ -22,7 +22,7 @@
 
 class Cluster {
  public:
-  Cluster(ClusterSettings settings, Instant now)
+  Cluster(const ClusterSettings& settings, Instant now)
       : shards_{settings.shards},
         membership_{settings.self, settings.members, settings.membership, settings.seed, now},
         leases_{settings.self, settings.members,   settings.shards, lease_settings(settings),
--- a/src/cluster/replication.cpp
+++ b/src/cluster/replication.cpp
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Replication::Replication(MemberId self, std::vector<MemberId> others, std::uint64_t generation,
+Replication::Replication(MemberId self, const std::vector<MemberId>& others, std::uint64_t generation,
                          ReplicationSettings settings)
     : self_{self}, settings_{settings}, generation_{std::max<std::uint64_t>(generation, 1)} {
   for (const auto other : others)
--- a/src/cluster/replication.hpp
+++ b/src/cluster/replication.hpp
@@ -24,7 +24,7 @@
 class Replication {
  public:
   // `generation`: grows with each start of this member.
-  Replication(MemberId self, std::vector<MemberId> others, std::uint64_t generation,
+  Replication(MemberId self, const std::vector<MemberId>& others, std::uint64_t generation,
               ReplicationSettings settings = {});
 
   // Brings the log of this member up to `present`. Returns how many facts changed.
--- a/src/config/hcl.cpp
+++ b/src/config/hcl.cpp
@@ -26,6 +26,9 @@
   std::size_t depth = 0;
 };
 
+// Grammar rules, actions and controls have names as in PEGTL.
+// NOLINTBEGIN(readability-identifier-naming)
+
 // ---- Grammar -------------------------------------------------------------------------------------------
 
 struct line_comment : p::seq<p::sor<p::one<'#'>, TAO_PEGTL_STRING("//")>, p::until<p::at<p::eolf>>> {};
@@ -404,6 +407,8 @@
   }
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 }  // namespace
 
 std::string Fault::text() const {
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -136,7 +136,7 @@
   return result;
 }
 
-std::string Section::text(const char* name, std::optional<std::string> fallback) {
+std::string Section::text(const char* name, const std::optional<std::string>& fallback) {
   const hcl::Value* value = find(name, !fallback);
   std::string result = fallback.value_or("");
   if (value != nullptr) {
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -47,7 +47,7 @@
 
   double number(const char* name, std::optional<double> fallback, Range range, const char* unit = "");
   Span span(const char* name, std::optional<Span> fallback, Span least, Span most);
-  std::string text(const char* name, std::optional<std::string> fallback);
+  std::string text(const char* name, const std::optional<std::string>& fallback);
   bool flag(const char* name, bool fallback);
   // The index of the value in `words`.
   std::size_t choice(const char* name, const std::vector<std::string>& words,
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -33,8 +33,8 @@
   return true;
 }
 
-std::string domain(Section& in, const char* name, std::optional<std::string> fallback) {
-  std::string text = in.text(name, std::move(fallback));
+std::string domain(Section& in, const char* name, const std::optional<std::string>& fallback) {
+  std::string text = in.text(name, fallback);
   if (!text.empty() && text.back() == '.') text.pop_back();
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
   if (!text.empty() && !is_domain(text))
@@ -71,8 +71,8 @@
   return result;
 }
 
-Endpoint endpoint(Section& in, const char* name, std::optional<std::string> fallback) {
-  const std::string text = in.text(name, std::move(fallback));
+Endpoint endpoint(Section& in, const char* name, const std::optional<std::string>& fallback) {
+  const std::string text = in.text(name, fallback);
   const auto e = Endpoint::parse(text);
   if (!e && !text.empty())
     in.fault(in.place(name), fmt::format("'{}' is \"{}\"; expected an address and a port, such as "
--- a/src/dns/server.cpp
+++ b/src/dns/server.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxTcpMessageBytes = 65535;   // RFC 7766, section 8: the length is 16 bits
-constexpr std::size_t kMaxUnsentBytes = 512 * 1024;  // responses that a peer has not read yet
+constexpr std::size_t kMaxTcpMessageBytes = 65535;    // RFC 7766, section 8: the length is 16 bits
+constexpr std::size_t kMaxUnsentBytes = 512U << 10U;  // responses that a peer has not read yet
 
 }  // namespace
 
--- a/src/lab/replay/fit.cpp
+++ b/src/lab/replay/fit.cpp
@@ -190,9 +190,9 @@
   for (std::int64_t t = *first / 1'000'000; t <= *last_t / 1'000'000; t += 5) {
     double n = 0;
     for (std::int64_t k = t; k < t + 5; ++k) n += taken.contains(k) ? taken[k] : 0;
-    d.phases.push_back({"second " + std::to_string(t - *first / 1'000'000),
-                        Span::seconds(static_cast<double>(t - *first / 1'000'000)),
-                        n / 5 / std::max(1e-9, mean_rate)});
+    const std::int64_t since_first = t - *first / 1'000'000;  // whole seconds
+    d.phases.push_back({"second " + std::to_string(since_first),
+                        Span::seconds(static_cast<double>(since_first)), n / 5 / std::max(1e-9, mean_rate)});
   }
   d.troubles = std::move(injected_faults);
   d.coordinators = {settings.zone_name};
--- a/src/lab/replay/settings.cpp
+++ b/src/lab/replay/settings.cpp
@@ -19,7 +19,7 @@
   return {text.substr(0, dot), text.substr(dot + 1, is - dot - 1), text.substr(is + 1)};
 }
 
-std::string apply_override(std::string text, const Override& o) {
+std::string apply_override(const std::string& text, const Override& o) {
   char* end = nullptr;
   static_cast<void>(std::strtod(o.value.c_str(), &end));
   const bool bare = *end == 0 || o.value == "true" || o.value == "false";
@@ -52,7 +52,7 @@
     return s.core;
   };
   std::string text = config.empty() ? script::coordinator_settings(day, {}, number, ".") : config;
-  for (const auto& change : changes) text = apply_override(std::move(text), change);
+  for (const auto& change : changes) text = apply_override(text, change);
   coordinator::Settings core = read(text, config.empty() ? "the day's settings" : "settings");
   if (config.empty()) return core;
   const auto own = read(script::coordinator_settings(day, {}, number, "."), "the day's settings");
--- a/src/lab/replay/settings.hpp
+++ b/src/lab/replay/settings.hpp
@@ -17,7 +17,7 @@
 [[nodiscard]] Override read_override(const std::string& text);
 
 // Sets the value in the text of a settings file. Supports only blocks without labels.
-[[nodiscard]] std::string apply_override(std::string text, const Override& change);
+[[nodiscard]] std::string apply_override(const std::string& text, const Override& change);
 
 // Settings of coordinator `number` of the day, from `config` (text of a settings file; empty: the settings
 // that the day implies) with the changes. Zones, groups, forwarders, operations, the seed and the number of
--- a/src/lab/simulation/simulation.cpp
+++ b/src/lab/simulation/simulation.cpp
@@ -1287,8 +1287,9 @@
         if (fault.zone.empty() || forwarder_places[forwarder].zone == fault.zone)
           in_zone.push_back(forwarder);
       const std::size_t count =
-          fault.count > 0 ? static_cast<std::size_t>(fault.count)
-                          : static_cast<std::size_t>(fault.part * static_cast<double>(in_zone.size()) + 0.5);
+          fault.count > 0
+              ? static_cast<std::size_t>(fault.count)
+              : static_cast<std::size_t>(std::lround(fault.part * static_cast<double>(in_zone.size())));
       for (std::size_t position = 0; position < std::min(count, in_zone.size()); ++position) {
         const std::size_t forwarder = in_zone[position];
         if (fault.kind == forwarder_restart)
@@ -1317,8 +1318,9 @@
       for (const auto& worker : workers)
         zone_workers += fault.zone.empty() || day.zones[worker.spec().zone] == fault.zone ? 1 : 0;
       const std::size_t count =
-          fault.count > 0 ? static_cast<std::size_t>(fault.count)
-                          : static_cast<std::size_t>(fault.part * static_cast<double>(zone_workers) + 0.5);
+          fault.count > 0
+              ? static_cast<std::size_t>(fault.count)
+              : static_cast<std::size_t>(std::lround(fault.part * static_cast<double>(zone_workers)));
       for (const auto worker : in_zone) {
         if (affected[fault_index].size() >= (fault.kind == errors && fault.count == 0 ? zone_workers : count))
           break;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -30,7 +30,7 @@
 struct MessageTraits;
 template <>
 struct MessageTraits<Request> {
-  static constexpr bool request = true;
+  static constexpr bool kIsRequest = true;
   static void copy(Request& out, http::request<http::string_body>&& wire) {
     out.method = std::string{wire.method_string()}, out.target = std::string{wire.target()};
     copy_common(out, std::move(wire));
@@ -38,7 +38,7 @@
 };
 template <>
 struct MessageTraits<Response> {
-  static constexpr bool request = false;
+  static constexpr bool kIsRequest = false;
   static void copy(Response& out, http::response<http::string_body>&& wire) {
     out.status = wire.result_int();
     copy_common(out, std::move(wire));
@@ -92,7 +92,7 @@
     wire->body_limit(max_body_bytes);
   }
   std::size_t max_body_bytes;
-  std::optional<http::parser<MessageTraits<Message>::request, http::string_body>> wire;
+  std::optional<http::parser<MessageTraits<Message>::kIsRequest, http::string_body>> wire;
   std::string error;
 };
 
@@ -153,7 +153,7 @@
   if (connection_) connection_->abort();
 }
 
-void HttpClient::send(Request request, Span timeout, Done done) {
+void HttpClient::send(const Request& request, Span timeout, Done done) {
   done_ = std::move(done);
   requested_at_ = loop_.now();
   request_bytes_ = write(request, server_.text());
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -75,7 +75,7 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Must not be called while busy().
-  void send(Request request, Span timeout, Done done);
+  void send(const Request& request, Span timeout, Done done);
   [[nodiscard]] bool busy() const { return static_cast<bool>(done_); }
   [[nodiscard]] bool connected() const { return connection_ && connection_->open(); }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -469,6 +469,9 @@
 namespace {
 
 struct ConnectAttempt {
+  ConnectAttempt(Loop& on, Fd socket) : loop{on}, fd{std::move(socket)} {}
+  ConnectAttempt(const ConnectAttempt&) = delete;
+  ConnectAttempt& operator=(const ConnectAttempt&) = delete;
   Loop& loop;
   Fd fd;
   ~ConnectAttempt() {
--- a/src/peers/peer_transport.cpp
+++ b/src/peers/peer_transport.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 PeerTransport::PeerTransport(net::Loop& loop, cluster::FrameCodec& codec, const Endpoint& listen,
-                             std::map<cluster::MemberId, Endpoint> peers, OnMessage on_message,
+                             const std::map<cluster::MemberId, Endpoint>& peers, OnMessage on_message,
                              OnDrop on_drop)
     : loop_{loop}, codec_{codec}, on_message_{std::move(on_message)}, on_drop_{std::move(on_drop)} {
   listener_ = std::make_unique<net::Listener>(loop_, listen, [this](net::Fd fd, const Endpoint& from) {
--- a/src/peers/peer_transport.hpp
+++ b/src/peers/peer_transport.hpp
@@ -20,7 +20,7 @@
 
   // Throws std::system_error if it can't listen.
   PeerTransport(net::Loop& loop, cluster::FrameCodec& codec, const Endpoint& listen,
-                std::map<cluster::MemberId, Endpoint> peers, OnMessage on_message, OnDrop on_drop);
+                const std::map<cluster::MemberId, Endpoint>& peers, OnMessage on_message, OnDrop on_drop);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/src/policy/table_ids.hpp
+++ b/src/policy/table_ids.hpp
@@ -16,7 +16,7 @@
   return TableId{static_cast<std::uint16_t>(subset)};
 }
 [[nodiscard]] inline TableId link_table_id(std::size_t subset, ZoneId zone) {
-  return TableId{static_cast<std::uint16_t>(kTablesPerZone * (1 + zone.value) + subset)};
+  return TableId{static_cast<std::uint16_t>(kTablesPerZone * (std::size_t{1} + zone.value) + subset)};
 }
 [[nodiscard]] inline TableId zone_bound_table_id(std::size_t subset, ZoneId zone) {
   return TableId{static_cast<std::uint16_t>(link_table_id(subset, zone).value + kMaxSubsets)};
--- a/src/probes/load_reply.cpp
+++ b/src/probes/load_reply.cpp
@@ -89,7 +89,7 @@
         bool known = false;
         auto count =
             parse_count((*counts)[index], "counts[" + std::to_string(index) + "]: ", operations, known);
-        if (known) sample.counts.push_back(std::move(count));
+        if (known) sample.counts.push_back(count);
       }
     }
     return sample;
--- a/src/probes/prober.cpp
+++ b/src/probes/prober.cpp
@@ -47,7 +47,7 @@
 void Prober::check_health(BackendId id) {
   targets_.at(id)->health.send(
       {"GET", settings_.health_path, {}, {}, true}, settings_.health_timeout,
-      [this, id](net::HttpClient::Result result) {
+      [this, id](const net::HttpClient::Result& result) {
         using Outcome = net::HttpClient::Outcome;
         const bool passed = result.outcome == Outcome::answered && result.response.status == 200;
         const auto health = passed                               ? coordinator::Health::passed
@@ -72,7 +72,7 @@
   if (target.load.busy()) return;
   target.load.send(
       {"GET", settings_.load_path, {}, {}, true}, settings_.load_timeout,
-      [this, id](net::HttpClient::Result result) {
+      [this, id](const net::HttpClient::Result& result) {
         if (result.outcome != net::HttpClient::Outcome::answered)
           return report_(coordinator::LoadPollFailed{id, net::name_of(result.outcome)});
         if (result.response.status != 200)
--- a/src/record/codec.cpp
+++ b/src/record/codec.cpp
@@ -219,7 +219,7 @@
   for (const auto& a : e.command_results) text += "answer " + a + "\n";
   for (const auto& n : e.log_events) {
     text += "note " + n.event;
-    for (const auto& [key, value] : n.fields) text += " " + key + "=" + value;
+    for (const auto& [key, value] : n.fields) text.append(" ").append(key).append("=").append(value);
     text += "\n";
   }
   return text + fmt::format("wake {}\n", (e.next_wakeup - base).micros());
--- a/src/recovery/fact_confidence.cpp
+++ b/src/recovery/fact_confidence.cpp
@@ -117,6 +117,7 @@
       if (ladder ? share(e) < share(kept) : e.learned > kept.learned) kept = e;
     }
   std::vector<Entry> all;
+  all.reserve(merged.size());
   for (auto& [subject, e] : merged) all.push_back(std::move(e));
   return all;
 }
--- a/src/runtime_api/operator_console.cpp
+++ b/src/runtime_api/operator_console.cpp
@@ -98,7 +98,8 @@
 void OperatorConsole::record_warning(const std::string& event,
                                      const std::vector<std::pair<std::string, std::string>>& fields) {
   std::string text;
-  for (const auto& [key, value] : fields) text += (text.empty() ? "" : " ") + key + "=" + value;
+  for (const auto& [key, value] : fields)
+    text.append(text.empty() ? "" : " ").append(key).append("=").append(value);
   warnings_.push_back({{"event", event}, {"what", text}});
   if (warnings_.size() > kMaxWarnings) warnings_.pop_front();
 }
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,7 +1,6 @@
 #include "simhost/wire.hpp"
 
 #include <stdexcept>
-
 #include <utility>
 
 namespace gorsemount::simhost {
@@ -109,7 +108,8 @@
               {"sheet", order.table.value},
               {"mask", operations}};
     }
-    // Settings::can_edit_unordered_tables is off here: the wire changes tables, not what a proxy brought along.
+    // Settings::can_edit_unordered_tables is off here: the wire changes tables, not what a proxy brought
+    // along.
     Json operator()(const RemoveBackends&) const {
       throw std::logic_error{"the wire has no order that changes the table of one proxy"};
     }
--- a/src/standins/client.cpp
+++ b/src/standins/client.cpp
@@ -119,6 +119,7 @@
   for (const auto* t : candidates) lowest = std::min(lowest, t->priority);
   std::erase_if(candidates, [&](const Target* t) { return t->priority != lowest; });
   std::vector<double> weights;
+  weights.reserve(candidates.size());
   for (const auto* t : candidates) weights.push_back(std::max(0.001, t->weight));
   return candidates[std::discrete_distribution<std::size_t>{weights.begin(), weights.end()}(random_)];
 }
@@ -144,7 +145,7 @@
   raw->send(
       {"POST", "/invoke/" + operation.name, {}, invocation.id, true},
       std::max(Span::seconds(0.001), std::min(remaining, operation.integration_timeout * kTryTimeoutShare)),
-      [this, number, to, held](net::HttpClient::Result result) {
+      [this, number, to, held](const net::HttpClient::Result& result) {
         if (result.outcome == net::HttpClient::Outcome::answered) {
           pool_[to].push_back(std::move(*held));
         } else {
--- a/src/standins/forwarder.cpp
+++ b/src/standins/forwarder.cpp
@@ -300,6 +300,7 @@
   }
   if (candidates.empty()) return {};
   std::vector<double> weights;
+  weights.reserve(candidates.size());
   for (const auto& [name, line] : candidates) weights.push_back(line->held.effective_weight());
   std::discrete_distribution<std::size_t> draw{weights.begin(), weights.end()};
   const auto* chosen = &candidates[draw(random_)];
@@ -341,7 +342,7 @@
   const Span remaining = operation.integration_timeout * 0.8 - (loop_.now() - call->arrived_at);
   raw->send(
       {"POST", "/invoke/" + operation.name, {}, call->id, true}, std::max(Span::seconds(0.001), remaining),
-      [this, call, key, to, held](net::HttpClient::Result result) {
+      [this, call, key, to, held](const net::HttpClient::Result& result) {
         if (result.outcome == net::HttpClient::Outcome::answered) {
           pool_[to].push_back(std::move(*held));
         } else {
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -7,7 +7,9 @@
 #include "standins/auditor.hpp"
 #include "standins/play.hpp"
 
-int main(int argc, char** argv) {
+namespace {
+
+int run(int argc, char** argv) {
   using namespace gorsemount;
   CLI::App app{"Loopback stand-ins for gorsemount's workers, forwarders and clients", "gorsemount-standin"};
   app.require_subcommand(1);
@@ -34,19 +36,25 @@
   faults.insert(faults.end(), findings.faults.begin(), findings.faults.end());
   for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
   if (!faults.empty()) return 2;
+  if (*play) {
+    options.start = Instant{} + Span::micros(start);
+    standins::play(day, options);
+    return 0;
+  }
+  const auto result = standins::audit(day, standins::read_records(options.folder));
+  for (const auto& v : result.verdicts)
+    std::printf("%-34s %s %.3f of %.3f %s %s\n", v.rule.c_str(), v.kept ? "kept" : "BROKEN", v.worst, v.limit,
+                v.unit.c_str(), v.detail.c_str());
+  return result.kept() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    if (*play) {
-      options.start = Instant{} + Span::micros(start);
-      standins::play(day, options);
-      return 0;
-    }
-    const auto result = standins::audit(day, standins::read_records(options.folder));
-    for (const auto& v : result.verdicts)
-      std::printf("%-34s %s %.3f of %.3f %s %s\n", v.rule.c_str(), v.kept ? "kept" : "BROKEN", v.worst,
-                  v.limit, v.unit.c_str(), v.detail.c_str());
-    return result.kept() ? 0 : 1;
-  } catch (const std::exception& fault) {
-    std::fprintf(stderr, "gorsemount-standin: %s\n", fault.what());
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "gorsemount-standin: %s\n", error.what());
     return 4;
   }
 }
--- a/src/standins/play.cpp
+++ b/src/standins/play.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -155,8 +156,9 @@
     std::vector<Forwarder*> in_zone, affected;
     for (auto& f : forwarders_)
       if (t.zone.empty() || f->settings().zone == t.zone) in_zone.push_back(f.get());
-    const auto n = t.count > 0 ? static_cast<std::size_t>(t.count)
-                               : static_cast<std::size_t>(t.part * static_cast<double>(in_zone.size()) + 0.5);
+    const auto n = t.count > 0
+                       ? static_cast<std::size_t>(t.count)
+                       : static_cast<std::size_t>(std::lround(t.part * static_cast<double>(in_zone.size())));
     for (auto* f : in_zone)
       if (affected.size() < n) affected.push_back(f);
     for (auto* f : affected) {
@@ -191,8 +193,9 @@
     std::vector<Worker*> in_zone, affected;
     for (auto& w : workers_)
       if (t.zone.empty() || w->settings().zone == t.zone) in_zone.push_back(w.get());
-    const auto n = t.count > 0 ? static_cast<std::size_t>(t.count)
-                               : static_cast<std::size_t>(t.part * static_cast<double>(in_zone.size()) + 0.5);
+    const auto n = t.count > 0
+                       ? static_cast<std::size_t>(t.count)
+                       : static_cast<std::size_t>(std::lround(t.part * static_cast<double>(in_zone.size())));
     for (auto* w : in_zone)
       if (affected.size() < n && w->healthy()) affected.push_back(w);
     for (auto* w : affected) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+std::string fault_in(const std::string& file, const std::string& fault) { return file + ": " + fault; }
+
 // Record layout: magic u32 | schema u16 | kind u8 | mac u8 | length u32 | sequence u64 | wall i64 | mono i64
 // | payload | xxh3 u64 | [MAC 32]
 constexpr std::uint32_t kMagic = 0x534d4f47;
@@ -173,9 +175,9 @@
         complete = true;
       }
     }
-    if (!reader.fault().empty()) result.faults.push_back(file + ": " + reader.fault());
+    if (!reader.fault().empty()) result.faults.push_back(fault_in(file, reader.fault()));
     if (!owner_mismatch.empty()) {
-      result.faults.push_back(file + ": " + owner_mismatch);
+      result.faults.push_back(fault_in(file, owner_mismatch));
       continue;
     }
     // An incomplete snapshot is no consistent state; a log with a torn end is what a power failure leaves.
