--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -18,6 +18,8 @@
 #include <set>
 #include <utility>
 
+#include "policy/admission_control.hpp"
+#include "policy/evidence.hpp"
 #include "policy/share_controller.hpp"
 #include "policy/subset_weights.hpp"
 #include "policy/table_ids.hpp"
@@ -29,68 +31,12 @@
 
 namespace {
 
-constexpr double kUnlimitedRate = 1e6;  // above any proxy's rate: admits everything
-constexpr std::size_t kMaxSamples = 8;  // longest look-back, in report rounds (a zone needs 200 tries)
 // Shorter than all timers below, far above the host's clock resolution.
 const Span kTickInterval = Span::seconds(0.25);
 constexpr double kMaxRemovalCost = 2;  // times the cost of the tables that a proxy waits for
 
-// Sums over a number of tries.
-struct TryStats {
-  double tries = 0;
-  double errored = 0;
-  double latency_sum = 0;  // sum over succeeded tries, s
-  [[nodiscard]] double error_rate() const { return tries > 0 ? errored / tries : 0; }
-  [[nodiscard]] double mean_latency() const { return tries > errored ? latency_sum / (tries - errored) : 0; }
-  friend TryStats operator+(const TryStats& a, const TryStats& b) {
-    return {a.tries + b.tries, a.errored + b.errored, a.latency_sum + b.latency_sum};
-  }
-  TryStats& operator+=(const TryStats& o) { return *this = *this + o; }
-};
-
-// The reports received in one round.
-struct Sample {
-  Instant received;
-  double interval = 0;  // time that the reports cover, s: a round, or longer if reports are delayed
-  TryStats stats;
-  std::optional<double> utilization;  // fraction of the processors in use, as reported
-  [[nodiscard]] Instant begin_time() const { return received - Span::seconds(interval); }
-};
-
-double quantile(std::vector<double> values, double fraction) {
-  if (values.empty()) return 0;
-  const auto position =
-      values.begin() + static_cast<std::ptrdiff_t>(fraction * static_cast<double>(values.size()));
-  std::nth_element(values.begin(), position, values.end());
-  return *position;
-}
-
 OperationId operation_id(std::size_t position) { return OperationId{static_cast<std::uint8_t>(position)}; }
 
-// Max-min fair limit: the per-proxy rate at which proxies with the demands `rates` admit `remaining` a
-// second in total.
-double fair_rate_limit(std::vector<double> rates, double remaining) {
-  std::sort(rates.begin(), rates.end());
-  for (std::size_t p = 0; p < rates.size(); remaining -= rates[p++])
-    if (const double even = remaining / static_cast<double>(rates.size() - p); rates[p] >= even) return even;
-  return kUnlimitedRate;
-}
-
-// A target with its own samples and share controller: a backend, or the link between two zones.
-struct Target {
-  ShareController control;
-  std::deque<Sample> samples;
-  Instant last_success;  // last report with a succeeded try
-  // Over the last samples that began after `since`.
-  [[nodiscard]] TryStats stats(std::size_t max_samples, Instant since) const {
-    TryStats t;
-    for (auto it = samples.rbegin(); it != samples.rend() && max_samples > 0 && it->begin_time() > since;
-         ++it, --max_samples)
-      t += it->stats;
-    return t;
-  }
-};
-
 struct Backend : Target {
   BackendListUpdate::Entry entry;
   std::size_t subset = 0;   // the subset whose table holds the backend
@@ -119,11 +65,6 @@
   double cost = 0;  // of the message with the tables, in lines
 };
 
-struct Admission {
-  RetryPolicy retries = RetryPolicy::if_unprocessed;
-  double limit = 1;
-};
-
 struct Table {
   std::map<BackendId, double> weights;
   std::vector<Admission> admissions;
@@ -136,9 +77,11 @@
 
 struct Policy::State {
   State(Settings initial, std::uint64_t seed)
-      : settings{std::move(initial)}, rng{static_cast<std::uint32_t>(seed)}, channel{settings} {
+      : settings{std::move(initial)},
+        rng{static_cast<std::uint32_t>(seed)},
+        admission_control{settings},
+        channel{settings} {
     report_interval = settings.report_every.seconds();
-    arrived.resize(settings.operations.size()), arrival_ratios.resize(settings.operations.size());
     for (std::size_t k = 0; k < settings.operations.size(); ++k) {
       const Operation& operation = settings.operations[k];
       mean_objective +=
@@ -164,11 +107,7 @@
   std::map<std::pair<ZoneId, ZoneId>, Target> links;  // keyed by proxy zone, backend zone
   std::vector<BackendReport> pending_reports;         // not processed yet
   std::size_t reports_received = 0;                   // backend and demand reports since the last round
-  std::map<std::pair<ProxyId, OperationId>, double> demand;  // invocations a second, as last reported
-  std::vector<double> arrived;  // per operation, since the last update of the admission limits
-  // Per operation: arrivals divided by the sum of the reported rates, for the last rounds.
-  std::vector<std::deque<double>> arrival_ratios;
-  double mean_objective = 0;  // mean latency objective, s
+  double mean_objective = 0;                          // mean latency objective, s
 
   // Updated after each round of reports.
   Instant last_round, fresh_since;       // time of the round; older samples are stale
@@ -181,12 +120,8 @@
   double try_rate = 0, goodput = 0;      // tries and succeeded tries a second
   std::vector<double> tries_per_weight;  // per subset: tries a second for each unit of table weight
 
-  std::vector<Admission> wanted_admissions;
+  AdmissionControl admission_control;
   std::optional<Instant> admissions_updated_at;
-  // Cost a second at full utilization per unit of listed weight, for the last rounds.
-  std::deque<double> capacity_samples;
-  double correction = 1;
-  bool limiting = false;  // some admission limit is below full
 
   std::map<TableId, Table> wanted_tables, sent_tables;
   std::map<TableId, Table> retired_tables;  // wanted no more, with proxies that are still bound to them
@@ -288,14 +223,14 @@
 
   void on_event(const ProxyLeft& e) {
     proxies.erase(e.proxy);
-    for (std::size_t k = 0; k < settings.operations.size(); ++k) demand.erase({e.proxy, operation_id(k)});
+    admission_control.forget(e.proxy);
   }
 
   void on_event(const DemandReport& e) {
     if (e.interval <= Span{} || e.operation.value >= settings.operations.size() || !proxies.contains(e.proxy))
       return;
-    ++reports_received, demand[{e.proxy, e.operation}] = e.arrived / e.interval.seconds();
-    arrived[e.operation.value] += e.arrived;
+    ++reports_received;
+    admission_control.record_demand(e);
   }
 
   void record_sample(Target& target, const BackendReport& r, double interval) {
@@ -341,20 +276,19 @@
     if (admissions_updated_at && since < settings.report_every.seconds() * 0.9) return;
     try_rate = round_stats.tries / since, goodput = (round_stats.tries - round_stats.errored) / since,
     round_stats = {};
-    update_arrival_ratios(since);
-    admissions_updated_at = now, compute_admissions();
+    admission_control.update_arrival_ratios(since);
+    admissions_updated_at = now;
+    admission_control.update(fleet_state());
   }
 
-  // A proxy with few invocations reports only in intervals in which something arrived, so the sum of the
-  // last reported rates exceeds the real rate. The counts over all reports give the ratio; the median
-  // over some rounds is used, since some reports are late.
-  void update_arrival_ratios(double since) {
-    std::vector<double> reported_totals(arrival_ratios.size(), 1e-9);
-    for (const auto& [key, rate] : demand) reported_totals[key.second.value] += rate;
-    for (std::size_t k = 0; k < arrival_ratios.size(); ++k) {
-      arrival_ratios[k].push_back(std::exchange(arrived[k], 0) / since / reported_totals[k]);
-      if (arrival_ratios[k].size() > kMaxSamples) arrival_ratios[k].pop_front();
-    }
+  [[nodiscard]] AdmissionControl::FleetState fleet_state() const {
+    double weight_in_use = 0;
+    for (const auto& [id, b] : backends)
+      weight_in_use += b.control.share > 0 ? b.entry.weight * slow_start_factor(b) : 0;
+    double proxy_rate = 1e-3;  // above 0, as it is a divisor
+    for (const auto& [id, p] : proxies) proxy_rate += p.rate;
+    return {goodput,           weight_in_use,  proxy_rate,    mean_utilization,
+            common_error_rate, median_latency, mean_objective};
   }
 
   void summarize() {
@@ -604,11 +538,11 @@
     auto fallback = wanted_tables[table_id(static_cast<std::size_t>(warmest - warm_weights.begin()))].weights;
     for (std::size_t k = 0; k < subset_count; ++k)
       if (warm_weights[k] <= 0) wanted_tables[table_id(k)].weights.insert(fallback.begin(), fallback.end());
-    if (wanted_admissions.empty()) compute_admissions();
+    if (!admission_control.has_limits()) admission_control.update(fleet_state());
     for (std::size_t k = 0; k < subset_count; ++k) hold_small_increases(table_id(k));
     compute_link_tables();
     compute_zone_bound_tables();
-    for (auto& [id, table] : wanted_tables) table.admissions = wanted_admissions;
+    for (auto& [id, table] : wanted_tables) table.admissions = admission_control.admissions();
     compute_retired_tables();
   }
 
@@ -683,7 +617,7 @@
   void compute_retired_tables() {
     for (const auto& [number, have] : sent_tables) {
       if (have.proxy_count <= 0 || wanted_tables.contains(number)) continue;
-      Table table{{}, wanted_admissions, {}, {}, 0};
+      Table table{{}, admission_control.admissions(), {}, {}, 0};
       bool has_warm_line = false;
       for (const auto& [id, weight] : have.weights) {
         const auto b = backends.find(id);
@@ -706,87 +640,6 @@
     return zone_bound_table_id(subset, ZoneId{static_cast<std::uint16_t>(number.value / kTablesPerZone - 1)});
   }
 
-  // Computes admission limits and retries. Retries stay at the configured default, at most if
-  // unprocessed for operations that are not idempotent: a try that may be retried is given up early, and
-  // the work that it leaves running can overload a busy fleet. In an overload operations are admitted by
-  // billed value per cost, up to the capacity that the fleet has shown.
-  void compute_admissions() {
-    const bool by_rate = settings.admission_mode == AdmissionMode::rate;
-    wanted_admissions.resize(settings.operations.size(),
-                             Admission{settings.default_retries, by_rate ? kUnlimitedRate : 1});
-    struct OperationDemand {
-      OperationId operation;
-      double cost, value;         // the settings give no cost, so the latency objective stands for it
-      std::vector<double> rates;  // as last reported
-      double fraction = 1;        // of the sum of the rates that really arrives
-      double reported = 0, total = 0;
-    };
-    std::vector<OperationDemand> demands;
-    for (std::size_t k = 0; k < settings.operations.size(); ++k) {
-      const Operation& operation = settings.operations[k];
-      demands.push_back({operation_id(k), operation.latency_objective.seconds(), operation.billed_value, {}});
-      const auto max_retries =
-          operation.effect == Effect::idempotent ? RetryPolicy::two : RetryPolicy::if_unprocessed;
-      // In a general failure retries add to the overload.
-      wanted_admissions[k].retries =
-          common_error_rate > 0.3 ? RetryPolicy::none : std::min(settings.default_retries, max_retries);
-    }
-    if (settings.admission_mode == AdmissionMode::off) return;
-
-    double admitted = 0, admitted_cost = 0;  // a second, under the current limits
-    double expected = 1e-3;                  // rate of this coordinator's proxies
-    for (const auto& [id, p] : proxies) expected += p.rate;
-    for (std::size_t k = 0; k < demands.size(); ++k)
-      if (!arrival_ratios[k].empty())
-        demands[k].fraction =
-            std::min(1.0, quantile({arrival_ratios[k].begin(), arrival_ratios[k].end()}, 0.5));
-    for (const auto& [key, rate] : demand) {
-      OperationDemand& item = demands[key.second.value];
-      const double limit = wanted_admissions[key.second.value].limit;
-      const double admitted_rate =
-          item.fraction * (by_rate ? std::min(rate, limit) : rate * std::min(1.0, limit));
-      item.rates.push_back(rate), item.reported += rate, item.total += item.fraction * rate;
-      admitted += admitted_rate, admitted_cost += admitted_rate * item.cost;
-    }
-    if (admitted <= 0) return;
-    // Capacity is the cost carried per unit of processor utilization, of listed weight in use and of
-    // this coordinator's part of the traffic, which grows as proxies return after a restart. It is the
-    // median over the last rounds without congestion, since congestion hides it. Congestion keeps
-    // processors busy; errors in an idle fleet have another cause that limits do not cure.
-    double in_use = 0;
-    for (const auto& [id, b] : backends)
-      in_use += b.control.share > 0 ? b.entry.weight * slow_start_factor(b) : 0;
-    const bool congested =
-        mean_utilization > 0.7 && (common_error_rate > 0.1 || median_latency > 0.6 * mean_objective);
-    // A lower utilization gives no useful estimate.
-    if (mean_utilization > 0.3 && in_use > 0 && (!congested || capacity_samples.empty()))
-      capacity_samples.push_back(goodput * admitted_cost / admitted / mean_utilization / in_use / expected);
-    if (capacity_samples.empty()) return;
-    if (capacity_samples.size() > kMaxSamples) capacity_samples.pop_front();
-    // Corrects for what the estimate misses: more expensive work, queues to clear, limits that admit
-    // less than stated.
-    if (congested)
-      correction = std::max(0.5, correction * 0.75);
-    else if (correction < 1 || (limiting && mean_utilization < 0.75))
-      correction = std::min(1.3, correction * 1.15);
-    // Above a utilization of 0.78 the slower backends queue.
-    double available_cost = 0.78 * correction * in_use * expected *
-                            quantile({capacity_samples.begin(), capacity_samples.end()}, 0.5);
-    limiting = false;
-    std::stable_sort(demands.begin(), demands.end(), [](const OperationDemand& a, const OperationDemand& b) {
-      return a.value / a.cost > b.value / b.cost;
-    });
-    for (const OperationDemand& w : demands) {
-      const double share = w.total > 0 ? std::clamp(available_cost / (w.total * w.cost), 0.02, 1.0) : 1;
-      available_cost -= share * w.total * w.cost;
-      limiting = limiting || share < 1;
-      wanted_admissions[w.operation.value].limit = !by_rate    ? share
-                                                   : share < 1 ? fair_rate_limit(w.rates, share * w.reported)
-                                                               : kUnlimitedRate;
-    }
-    if (!limiting) correction = std::min(correction, 1.0);
-  }
-
   // ---- Orders ----------------------------------------------------------------------------------------
 
   // The difference between a table and what was sent, by how long it may wait.
@@ -1082,7 +935,8 @@
     if (significant(b.control)) saved.backends[id] = state(b.control);
   for (const auto& [key, link] : state_->links)
     if (significant(link.control)) saved.links[key] = state(link.control);
-  saved.capacity_samples = {state_->capacity_samples.begin(), state_->capacity_samples.end()};
+  const auto& capacity_samples = state_->admission_control.capacity_samples();
+  saved.capacity_samples = {capacity_samples.begin(), capacity_samples.end()};
   return saved;
 }
 
@@ -1100,9 +954,7 @@
     const auto entry = state_->backends.find(id);
     merge(entry == state_->backends.end() ? state_->restored[id] : entry->second.control, state);
   }
-  if (state_->capacity_samples.empty())
-    for (const double capacity : saved.capacity_samples) state_->capacity_samples.push_back(capacity);
-  while (state_->capacity_samples.size() > kMaxSamples) state_->capacity_samples.pop_front();
+  state_->admission_control.restore_capacity_samples(saved.capacity_samples);
 }
 
 Policy::Policy(Settings settings, std::uint64_t seed)
