--- a/src/standins/forwarder.cpp
+++ b/src/standins/forwarder.cpp
@@ -85,8 +85,10 @@
     const std::uint64_t number = ++number_;
     auto peer = std::make_shared<ClientConnection>();
     peers_[number] = peer;
+    net::Connection::Limits limits{64U << 10U, 1U << 20U, Span::seconds(60)};
+    limits.discard_after_close = true;  // nobody waits for the answers
     peer->connection = net::Connection::make(
-        loop_, std::move(fd), {64U << 10U, 1U << 20U, Span::seconds(60)},
+        loop_, std::move(fd), limits,
         [this, weak = std::weak_ptr{peer}](std::string_view bytes) -> std::size_t {
           const auto strong = weak.lock();
           if (!strong) return bytes.size();
@@ -312,6 +314,8 @@
 }
 
 void Forwarder::forward(const std::shared_ptr<Call>& call) {
+  const auto client = call->connection.lock();
+  if (!client || !client->open()) return;  // the client is gone, and may send the same request again
   const auto& operation = s_.operations[call->operation];
   const auto worker = select_worker(*call);
   if (!worker) {
