--- a/tests/app/coordinator_process_test.cpp
+++ b/tests/app/coordinator_process_test.cpp
@@ -46,6 +46,7 @@
             "config: 'listen' is not an address and port: here");
   EXPECT_EQ(parse_error(good, R"("discovery":"127.7.7.11:17032",)", ""),
             "config: 'discovery' is missing, and so is GW_DISCOVERY");
+  EXPECT_EQ(parse_error(good, R"("memory_mb":64)", R"("memory_mb":0)"), "config.limits: 'memory_mb' is 0");
   EXPECT_EQ(parse_error(good, "8c1f", "xyzw"), "config: 'seed' is not a 64-bit hexadecimal number");
   EXPECT_EQ(parse_error(good, R"("share":1.0)", R"("share":"x")"),
             "config.known.hosts[0]: 'share' is not a number");
